--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -5,7 +5,8 @@
   file(GLOB module_dirs CONFIGURE_DEPENDS LIST_DIRECTORIES true
        ${CMAKE_SOURCE_DIR}/modules/av_*)
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/modules/av_*/*.cpp
-       ${CMAKE_SOURCE_DIR}/modules/av_*/*.capnp.c++)
+       ${CMAKE_SOURCE_DIR}/modules/av_*/*.capnp.c++
+       ${CMAKE_SOURCE_DIR}/platform/*.cpp)
   add_library(anvilturn SHARED ${sources})
   target_include_directories(anvilturn PUBLIC ${CMAKE_SOURCE_DIR}/modules)
   target_link_libraries(anvilturn PUBLIC anvilturn_dependencies PRIVATE easyloggingpp)
@@ -17,7 +18,7 @@
   set_source_files_properties(
     ${CMAKE_SOURCE_DIR}/modules/av_metrics/latency_recorder.cpp
     PROPERTIES COMPILE_OPTIONS -Wno-maybe-uninitialized)
-  foreach(module_dir IN LISTS module_dirs)
+  foreach(module_dir IN LISTS module_dirs ITEMS ${CMAKE_SOURCE_DIR}/platform)
     anvilturn_add_module_tests(${module_dir})
   endforeach()
 endfunction()
--- a/daemons/anvilturnd/main.cpp
+++ b/daemons/anvilturnd/main.cpp
@@ -20,10 +20,10 @@
     return exit_code;
 }
 
-int serve(const anvilturn::settings& settings)
+int serve(const anvilturn::settings& settings, const std::string& file)
 {
     anvilturn::configure_logging(settings.logs().level_, settings.vm().name_);
-    const auto daemon = anvilturn::daemon::start(settings);
+    const auto daemon = anvilturn::daemon::start(settings, file);
     if (!daemon.ok())
     {
         return fail(daemon.status(), exit_refused);
@@ -68,5 +68,5 @@
         std::cout << "settings: valid\n";
         return 0;
     }
-    return serve(*settings);
+    return serve(*settings, arguments->settings_file_);
 }
--- a/modules/av_daemon/daemon.cpp
+++ b/modules/av_daemon/daemon.cpp
@@ -15,6 +15,8 @@
 #include <av_daemon/return_watch.hpp>
 #include <av_daemon/state_dump.hpp>
 #include <av_daemon/target_prober.hpp>
+#include <av_feed/registry_control.hpp>
+#include <av_feed/store_adapter.hpp>
 #include <av_metrics/latency_recorder.hpp>
 #include <av_net/duration.hpp>
 #include <av_operator/operator_server.hpp>
@@ -23,6 +25,7 @@
 #include <av_proxy/request_path_builder.hpp>
 #include <av_release/release_codec.hpp>
 #include <av_routing/choice_policy.hpp>
+#include <av_settings/settings_reader.hpp>
 #include <av_shutdown/shutdown_sequence.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -32,7 +35,9 @@
 
 #include <atomic>
 #include <csignal>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -62,10 +67,12 @@
 class daemon::implementation
 {
 public:
-    explicit implementation(const settings& value)
+    implementation(const settings& value, std::string settings_file)
         : settings_(value)
-        , signals_(context_, SIGTERM, SIGINT)
+        , settings_file_(std::move(settings_file))
+        , signals_(context_, SIGTERM, SIGINT, SIGHUP)
         , operators_(context_, operator_options(value))
+        , readiness_(context_, readiness_options(value))
         , platform_(context_, platform_options(value))
         , acceptor_(context_,
                     platform_,
@@ -93,43 +100,36 @@
 
     absl::Status start()
     {
-        if (auto status = start_request_path(); !status.ok())
+        const auto adapter = adapter_of(settings_);
+        if (!adapter.ok())
         {
-            return status;
+            return adapter.status();
         }
-        if (auto status = start_control(); !status.ok())
+        if (auto status = start_request_path(*adapter); !status.ok())
         {
             return status;
         }
         add_routes();
-        if (auto status = operators_.start(); !status.ok())
+        if (auto status = start_steering(*adapter); !status.ok())
+        {
+            return status;
+        }
+        if (auto status = start_servers(); !status.ok())
         {
             return status;
         }
         watch_signals();
-        every(contact_timer_,
-              contact_period,
-              [this]
-              {
-                  pass_on_contact();
-              });
         every(collect_timer_,
               collect_period,
               [this]
               {
                   collect_latency();
               });
-        every(return_timer_,
-              return_period,
-              [this]
-              {
-                  watch_returns();
-              });
         log_event(log_level::info, "vm_started")
             .field("vm", settings_.vm().name_)
             .field("failure_domain", settings_.vm().failure_domain_)
             .field("callers", request_path_->callers_address())
-            .field("incarnation", control_->self().incarnation_)
+            .field("adapter", settings_.platform().adapter_)
             .write();
         return absl::OkStatus();
     }
@@ -141,21 +141,30 @@
     }
 
 private:
-    absl::Status start_request_path()
+    absl::Status start_request_path(const store_adapter* adapter)
     {
-        auto built = request_path_builder()
-                         .settings(path_settings(settings_))
-                         .recorder(recorder_)
-                         .notice_listener(
-                             [this](const target_notice& notice)
-                             {
-                                 asio::post(context_,
-                                            [this, notice]
-                                            {
-                                                control_->report(notice);
-                                            });
-                             })
-                         .build();
+        auto path = path_settings(settings_);
+        if (adapter != nullptr)
+        {
+            path.dialect_ = adapter->dialect_();
+        }
+        auto built =
+            request_path_builder()
+                .settings(path)
+                .recorder(recorder_)
+                .notice_listener(
+                    [this](const target_notice& notice)
+                    {
+                        asio::post(context_,
+                                   [this, notice]
+                                   {
+                                       if (control_)
+                                       {
+                                           control_->report(notice);
+                                       }
+                                   });
+                    })
+                .build();
         if (!built.ok())
         {
             return built.status();
@@ -164,6 +173,105 @@
         return request_path_->start();
     }
 
+    absl::Status start_servers()
+    {
+        if (auto status = operators_.start(); !status.ok())
+        {
+            return status;
+        }
+        if (settings_.listen().readiness_.empty())
+        {
+            return absl::OkStatus();
+        }
+        readiness_.add_route("GET",
+                             settings_.listen().readiness_path_,
+                             [this](const operator_request&)
+                             {
+                                 return answer_readiness();
+                             });
+        return readiness_.start();
+    }
+
+    operator_response answer_readiness() const
+    {
+        constexpr unsigned ready_status = 200;
+        constexpr unsigned unready_status = 503;
+        const bool ready = is_ready();
+        operator_response response;
+        response.status_ = ready ? ready_status : unready_status;
+        response.body_ = ready ? "ready\n" : "not ready\n";
+        return response;
+    }
+
+    bool is_ready() const
+    {
+        return ready_ && shutdown_.phase() == shutdown_phase::serving;
+    }
+
+    // Starts what tells this VM of releases and targets.
+    absl::Status start_steering(const store_adapter* adapter)
+    {
+        if (adapter != nullptr)
+        {
+            start_registry(*adapter);
+            return absl::OkStatus();
+        }
+        if (auto status = start_control(); !status.ok())
+        {
+            return status;
+        }
+        add_release_routes();
+        every(contact_timer_,
+              contact_period,
+              [this]
+              {
+                  pass_on_contact();
+              });
+        every(return_timer_,
+              return_period,
+              [this]
+              {
+                  watch_returns();
+              });
+        return absl::OkStatus();
+    }
+
+    void start_registry(const store_adapter& adapter)
+    {
+        fleet_view fleet;
+        fleet.self_ = self_description(settings_);
+        fleet.members_.push_back(fleet.self_);
+        request_path_->publish(fleet);
+        registry_handlers handlers;
+        handlers.on_release_ = [this](std::shared_ptr<const release> value)
+        {
+            take_release(std::move(value));
+        };
+        handlers.on_targets_ =
+            [this](const std::map<std::string, target_spec>& targets)
+        {
+            request_path_->publish(targets);
+            has_targets_ = true;
+            update_ready();
+        };
+        registry_ = std::make_unique<registry_control>(
+            context_,
+            adapter.open_(context_, store_options_of(settings_)),
+            std::move(handlers));
+        registry_->start();
+    }
+
+    // A VM that takes targets from the store is ready once it has them.
+    void update_ready()
+    {
+        const bool ready = has_release_ && (registry_ == nullptr || has_targets_);
+        if (!ready_.exchange(ready) && ready)
+        {
+            request_path_->set_ready(true);
+            log_event(log_level::info, "vm_ready").write();
+        }
+    }
+
     absl::Status start_control()
     {
         control_options options;
@@ -258,9 +366,12 @@
     void take_release(std::shared_ptr<const release> value)
     {
         request_path_->publish(*value);
-        request_path_->set_ready(true);
-        ready_ = true;
-        tell_prober(value);
+        has_release_ = true;
+        update_ready();
+        if (prober_)
+        {
+            tell_prober(value);
+        }
         log_event(log_level::info, "release_in_force")
             .field("version", value->version_)
             .field("note", value->note_id_)
@@ -285,6 +396,10 @@
                                      collect_metrics(read_state()));
                                  return response;
                              });
+    }
+
+    void add_release_routes()
+    {
         release_routes_options options;
         options.in_force_ = [this]
         {
@@ -330,16 +445,28 @@
         const auto usage = read_process_usage();
         daemon_state state;
         state.phase_ = shutdown_.phase();
-        state.ready_ = ready_ && state.phase_ == shutdown_phase::serving;
+        state.ready_ = is_ready();
         state.uptime_ = monotonic_now() - started_at_;
         state.cpu_time_ = usage.cpu_time_;
         state.resident_bytes_ = usage.resident_bytes_;
         state.release_ = std::atomic_load(&release_);
         state.fleet_ = std::atomic_load(&fleet_);
-        state.control_ = control_->read_state();
+        if (control_)
+        {
+            state.control_ = control_->read_state();
+        }
+        if (registry_)
+        {
+            state.registry_ = registry_->state();
+            state.control_.self_ = self_description(settings_);
+            state.control_.now_ = monotonic_now();
+            state.control_.release_held_ = state.registry_->version_;
+            state.control_.platform_answered_at_ =
+                state.registry_->answered_at_;
+        }
         state.requests_ = request_path_->statistics();
         state.latency_ = latency_;
-        state.probes_sent_ = prober_->sent();
+        state.probes_sent_ = prober_ ? prober_->sent() : 0;
         return state;
     }
 
@@ -372,14 +499,39 @@
                 {
                     return;
                 }
-                log_event(log_level::info, "stop_requested")
-                    .field("signal", number)
-                    .write();
-                step(shutdown_event::stop_requested);
+                if (number == SIGHUP)
+                {
+                    reload();
+                }
+                else
+                {
+                    log_event(log_level::info, "stop_requested")
+                        .field("signal", number)
+                        .write();
+                    step(shutdown_event::stop_requested);
+                }
                 watch_signals();
             });
     }
 
+    // Takes up a changed settings file. Only the log level changes in a running
+    // process; settings that can't be read leave the old ones in force.
+    void reload()
+    {
+        const auto fresh = read_settings_file(settings_file_);
+        if (!fresh.ok())
+        {
+            log_event(log_level::error, "settings_refused")
+                .field("error", fresh.status())
+                .write();
+            return;
+        }
+        configure_logging(fresh->logs().level_, settings_.vm().name_);
+        log_event(log_level::info, "settings_reloaded")
+            .field("changed", *fresh != settings_)
+            .write();
+    }
+
     void step(shutdown_event event)
     {
         for (const auto action : shutdown_.step(event))
@@ -399,12 +551,7 @@
             request_path_->begin_drain();
             return;
         case shutdown_action::leave_fleet:
-            control_->begin_leave(
-                []
-                {
-                    log_event(log_level::info, "fleet_left").write();
-                });
-            prober_->give_back();
+            leave_fleet();
             return;
         case shutdown_action::start_balancer_lag_timer:
             after(lag_timer_,
@@ -430,6 +577,20 @@
         }
     }
 
+    void leave_fleet()
+    {
+        if (control_ == nullptr)
+        {
+            return;
+        }
+        control_->begin_leave(
+            []
+            {
+                log_event(log_level::info, "fleet_left").write();
+            });
+        prober_->give_back();
+    }
+
     // Waits for the calls on a thread of its own, so that operators are still
     // answered.
     void finish_calls()
@@ -476,6 +637,7 @@
         boost::system::error_code ignored;
         signals_.cancel(ignored);
         operators_.stop();
+        readiness_.stop();
         context_.stop();
     }
 
@@ -510,6 +672,7 @@
     }
 
     const settings settings_;
+    const std::string settings_file_;
     const milliseconds started_at_ = monotonic_now();
     asio::io_context context_{1};
     asio::signal_set signals_;
@@ -519,6 +682,7 @@
     asio::steady_timer lag_timer_{context_};
     asio::steady_timer deadline_timer_{context_};
     operator_server operators_;
+    operator_server readiness_;
     platform_client platform_;
     release_acceptor acceptor_;
     latency_recorder recorder_;
@@ -530,11 +694,15 @@
     int exit_code_ = 0;
     contact_state contact_;
     std::atomic<bool> ready_{false};
+    std::atomic<bool> has_release_{false};
+    std::atomic<bool> has_targets_{false};
     // Written by the control thread, read by the operator thread.
     std::shared_ptr<const release> release_;
     std::shared_ptr<const fleet_view> fleet_;
     std::unique_ptr<request_path> request_path_;
+    // One of the two steers this VM.
     std::unique_ptr<control_plane> control_;
+    std::unique_ptr<registry_control> registry_;
     std::unique_ptr<target_prober> prober_;
     return_watch return_watch_{context_,
                                settings_.vm().name_,
@@ -551,9 +719,10 @@
 
 daemon::~daemon() = default;
 
-absl::StatusOr<std::unique_ptr<daemon>> daemon::start(const settings& value)
+absl::StatusOr<std::unique_ptr<daemon>>
+daemon::start(const settings& value, const std::string& settings_file)
 {
-    auto started = std::make_unique<implementation>(value);
+    auto started = std::make_unique<implementation>(value, settings_file);
     if (auto status = started->start(); !status.ok())
     {
         return status;
--- a/modules/av_daemon/daemon.hpp
+++ b/modules/av_daemon/daemon.hpp
@@ -6,6 +6,7 @@
 #include <absl/status/statusor.h>
 
 #include <memory>
+#include <string>
 
 namespace anvilturn
 {
@@ -16,8 +17,10 @@
 {
 public:
     // Listens on all addresses and joins the fleet. The VM is not ready for
-    // callers before it has a release. Fails if an address can't be used.
-    static absl::StatusOr<std::unique_ptr<daemon>> start(const settings& value);
+    // callers before it has a release. The file is read again at SIGHUP. Fails
+    // if an address can't be used.
+    static absl::StatusOr<std::unique_ptr<daemon>>
+    start(const settings& value, const std::string& settings_file);
 
     ~daemon();
     daemon(const daemon&) = delete;
--- a/modules/av_daemon/daemon_options.cpp
+++ b/modules/av_daemon/daemon_options.cpp
@@ -3,6 +3,8 @@
 #include <av_platform/platform_keys.hpp>
 #include <av_routing/choice_policy.hpp>
 
+#include <absl/strings/str_join.h>
+
 namespace anvilturn
 {
 
@@ -59,6 +61,46 @@
     return options;
 }
 
+absl::StatusOr<const store_adapter*> adapter_of(const settings& value)
+{
+    const auto& name = value.platform().adapter_;
+    if (name == native_adapter)
+    {
+        return nullptr;
+    }
+    const auto& registry = store_adapter_registry::instance();
+    const auto* const adapter = registry.find(name);
+    if (adapter == nullptr)
+    {
+        return make_error(error_kind::settings_invalid,
+                          "platform.adapter: " + name +
+                              " is unknown; allowed: native, " +
+                              absl::StrJoin(registry.names(), ", "));
+    }
+    return adapter;
+}
+
+store_options store_options_of(const settings& value)
+{
+    const auto& section = value.services();
+    store_options options;
+    options.address_ = value.platform().address_;
+    options.call_timeout_ = value.platform().call_timeout_;
+    auto& defaults = options.service_defaults_;
+    defaults.choice_policy_ = section.choice_policy_;
+    defaults.retry_ratio_ = section.retry_ratio_;
+    defaults.queue_limit_ = section.queue_limit_;
+    defaults.ejecting_failures_ = section.ejecting_failures_;
+    return options;
+}
+
+operator_server_options readiness_options(const settings& value)
+{
+    operator_server_options options;
+    options.address_ = value.listen().readiness_;
+    return options;
+}
+
 operator_server_options operator_options(const settings& value)
 {
     operator_server_options options;
--- a/modules/av_daemon/daemon_options.hpp
+++ b/modules/av_daemon/daemon_options.hpp
@@ -2,6 +2,7 @@
 #define AV_DAEMON_DAEMON_OPTIONS_HPP
 
 #include <av_acceptor/release_acceptor.hpp>
+#include <av_feed/store_adapter.hpp>
 #include <av_model/vm_description.hpp>
 #include <av_operator/operator_server_options.hpp>
 #include <av_platform/platform_client_options.hpp>
@@ -30,6 +31,16 @@
 // Returns how release notes are accepted.
 release_acceptor_options acceptor_options(const settings& value);
 
+// Returns the adapter that the settings name; null for the project's own
+// interface, settings_invalid for one that this program has not.
+absl::StatusOr<const store_adapter*> adapter_of(const settings& value);
+
+// Returns how the adapter reaches the platform's store.
+store_options store_options_of(const settings& value);
+
+// Returns where the balancer's readiness check is answered.
+operator_server_options readiness_options(const settings& value);
+
 // Returns where operators reach this VM.
 operator_server_options operator_options(const settings& value);
 
--- a/modules/av_daemon/daemon_state.hpp
+++ b/modules/av_daemon/daemon_state.hpp
@@ -3,6 +3,7 @@
 
 #include <av_control/control_state.hpp>
 #include <av_core/milliseconds.hpp>
+#include <av_feed/registry_control.hpp>
 #include <av_metrics/latency_summary.hpp>
 #include <av_model/fleet_view.hpp>
 #include <av_model/release.hpp>
@@ -11,6 +12,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace anvilturn
 {
@@ -28,6 +30,9 @@
     std::shared_ptr<const release> release_;
     std::shared_ptr<const fleet_view> fleet_;
     control_state control_;
+    // What came from the platform's store; nothing where VMs spread releases
+    // themselves.
+    std::optional<registry_state> registry_;
     request_path_statistics requests_;
     // The last whole window of answered calls.
     latency_summary latency_;
--- /dev/null
+++ b/modules/av_feed/av_feed.hpp
@@ -0,0 +1,16 @@
+// Purpose: keeps a VM in step with the collections that the platform's store
+// holds, the releases and the targets, through an adapter that knows the
+// store's calls. Its headers include Asio: include them in source files only.
+// Depends on: av_core, av_model, av_http (dialects), av_net, av_registry,
+// Boost.Asio.
+
+#ifndef AV_FEED_AV_FEED_HPP
+#define AV_FEED_AV_FEED_HPP
+
+#include <av_feed/collection_feed.hpp>
+#include <av_feed/collection_source.hpp>
+#include <av_feed/registry_control.hpp>
+#include <av_feed/store_adapter.hpp>
+#include <av_feed/store_call_counts.hpp>
+
+#endif
--- a/modules/av_http/answer_head.hpp
+++ b/modules/av_http/answer_head.hpp
@@ -1,6 +1,7 @@
 #ifndef AV_HTTP_ANSWER_HEAD_HPP
 #define AV_HTTP_ANSWER_HEAD_HPP
 
+#include <av_core/milliseconds.hpp>
 #include <av_http/read_result.hpp>
 #include <av_model/load_report.hpp>
 
@@ -25,6 +26,14 @@
     std::uint64_t length_ = 0;
     // The length that an answer without a body announces, as to HEAD.
     std::optional<std::uint64_t> announced_length_;
+    // How long the target keeps the connection open while it is idle.
+    std::optional<milliseconds> idle_limit_;
+    // The id of the call that is answered, if the target repeats it.
+    std::string call_id_;
+    // Id of the target that answers; empty if it does not say.
+    std::string target_id_;
+    // Whether the dialect's signature stands, if it has one.
+    bool signed_ = false;
     std::optional<load_report> load_;
     bool draining_ = false;
     bool not_run_ = false;
--- a/modules/av_http/answer_reader.cpp
+++ b/modules/av_http/answer_reader.cpp
@@ -22,8 +22,11 @@
 class collecting_parser : public detail::message_parser<false>
 {
 public:
-    collecting_parser(answer_head& head, bool answers_head_request)
+    collecting_parser(answer_head& head,
+                      const header_dialect& dialect,
+                      bool answers_head_request)
         : head_(head)
+        , dialect_(dialect)
         , answers_head_request_(answers_head_request)
     {
     }
@@ -55,39 +58,86 @@
                     std::string_view name,
                     std::string_view value) override
     {
-        constexpr std::string_view own_prefix = "Anvilturn-";
-        if (id == http_field::unknown &&
-            equals_ignoring_case(name.substr(0, own_prefix.size()), own_prefix))
+        if (id == http_field::unknown && take_own_field(name, value))
         {
-            take_own_field(name.substr(own_prefix.size()), value);
             return true;
         }
-        pass_on(head_.fields_, name, value);
+        const std::string_view prefix = dialect_.own_prefix_;
+        const bool is_own =
+            !prefix.empty() &&
+            equals_ignoring_case(name.substr(0, prefix.size()), prefix);
+        if (!is_own)
+        {
+            pass_on(head_.fields_, name, value);
+        }
         return true;
     }
 
-    void take_own_field(std::string_view name, std::string_view value)
+    void take_keep_alive(std::string_view value) override
     {
-        if (equals_ignoring_case(name, "Load"))
+        constexpr std::string_view parameter = "timeout=";
+        constexpr double milliseconds_per_second = 1000.0;
+        const auto at = value.find(parameter);
+        if (at == std::string_view::npos)
+        {
+            return;
+        }
+        const auto digits = value.substr(at + parameter.size());
+        unsigned seconds = 0;
+        const auto parsed = std::from_chars(
+            digits.data(), digits.data() + digits.size(), seconds);
+        if (parsed.ec == std::errc())
         {
-            head_.load_ = parse_load(value);
+            head_.idle_limit_ = milliseconds(seconds * milliseconds_per_second);
         }
-        else if (equals_ignoring_case(name, "Draining"))
+    }
+
+    // Returns whether the field is one that the dialect names.
+    bool take_own_field(std::string_view name, std::string_view value)
+    {
+        const auto is = [name](const std::string& known)
+        {
+            return !known.empty() && equals_ignoring_case(name, known);
+        };
+        if (is(dialect_.load_))
+        {
+            head_.load_ = dialect_.parse_load_(value);
+            return true;
+        }
+        if (is(dialect_.draining_))
         {
             head_.draining_ = value == "1";
+            return true;
         }
-        else if (equals_ignoring_case(name, "Not-Run"))
+        if (is(dialect_.not_run_))
         {
             head_.not_run_ = value == "1";
+            return true;
         }
-        else if (equals_ignoring_case(name, "Outcome"))
+        if (is(dialect_.outcome_))
         {
             head_.outcome_.assign(value);
+            return true;
         }
-        else if (equals_ignoring_case(name, "Reason"))
+        if (is(dialect_.reason_))
         {
             head_.reason_.assign(value);
+            return true;
         }
+        if (is(dialect_.call_id_))
+        {
+            head_.call_id_.assign(value);
+            return true;
+        }
+        if (is(dialect_.target_id_))
+        {
+            head_.target_id_.assign(value);
+        }
+        else if (is(dialect_.signature_))
+        {
+            head_.signed_ = !value.empty();
+        }
+        return false;
     }
 
     bool take_header_end() override
@@ -107,9 +157,13 @@
         {
             head_.length_ = this->content_length().value_or(0);
         }
-        const bool chunked_by_1_0 =
-            http_1_0_ && head_.framing_ == body_framing::chunked;
-        return head_.framing_ != body_framing::none && !chunked_by_1_0;
+        if (head_.framing_ == body_framing::none)
+        {
+            head_.framing_ = body_framing::until_close;
+            head_.keep_alive_ = false;
+            return dialect_.allows_unframed_answers_;
+        }
+        return !http_1_0_ || head_.framing_ != body_framing::chunked;
     }
 
     bool has_no_body() const
@@ -133,6 +187,7 @@
     }
 
     answer_head& head_;
+    const header_dialect& dialect_;
     bool answers_head_request_;
     bool http_1_0_ = false;
 };
@@ -174,6 +229,10 @@
     framing_ = body_framing::none;
     length_ = 0;
     announced_length_.reset();
+    idle_limit_.reset();
+    call_id_.clear();
+    target_id_.clear();
+    signed_ = false;
     load_.reset();
     draining_ = false;
     not_run_ = false;
@@ -204,8 +263,10 @@
     std::optional<collecting_parser> parser_;
 };
 
-answer_reader::answer_reader(const http_limits& limits)
+answer_reader::answer_reader(const http_limits& limits,
+                             const header_dialect& dialect)
     : limits_(limits)
+    , dialect_(dialect)
     , parser_(std::make_unique<parser>())
 {
     reset(false);
@@ -218,7 +279,8 @@
     answers_head_request_ = answers_head_request;
     parser_->head_.clear();
     auto& beast =
-        parser_->parser_.emplace(parser_->head_, answers_head_request);
+        parser_->parser_.emplace(
+            parser_->head_, dialect_, answers_head_request);
     beast.eager(true);
     beast.header_limit(static_cast<std::uint32_t>(limits_.header_bytes_));
     // Beast 1.74 takes an absent limit for zero.
@@ -245,6 +307,19 @@
     }
 }
 
+bool answer_reader::finish()
+{
+    auto& beast = *parser_->parser_;
+    if (!beast.is_header_done() ||
+        parser_->head_.framing_ != body_framing::until_close)
+    {
+        return false;
+    }
+    detail::error_code error;
+    beast.put_eof(error);
+    return !error;
+}
+
 const answer_head& answer_reader::head() const
 {
     return parser_->head_;
--- a/modules/av_http/answer_reader.hpp
+++ b/modules/av_http/answer_reader.hpp
@@ -2,6 +2,7 @@
 #define AV_HTTP_ANSWER_READER_HPP
 
 #include <av_http/answer_head.hpp>
+#include <av_http/header_dialect.hpp>
 #include <av_http/http_limits.hpp>
 #include <av_http/read_result.hpp>
 
@@ -15,11 +16,12 @@
 // Reads one answer after the other from the bytes of a connection to a
 // target. It keeps no bytes: those that it did not consume are given again,
 // with what arrived since. An answer whose end is not marked by a length or by
-// chunks fails, since a broken connection could not be told from its end.
+// chunks fails unless the dialect allows it; its end is told by finish.
 class answer_reader
 {
 public:
-    explicit answer_reader(const http_limits& limits);
+    explicit answer_reader(const http_limits& limits,
+                           const header_dialect& dialect = native_dialect());
     ~answer_reader();
     answer_reader(const answer_reader&) = delete;
     answer_reader& operator=(const answer_reader&) = delete;
@@ -33,12 +35,17 @@
     // header and at the end of the answer.
     read_result read(std::string_view input, std::string& body);
 
+    // Takes the orderly end of the connection. Returns whether it completes
+    // the answer.
+    bool finish();
+
     // The header; holds once read returned a state past in_header.
     const answer_head& head() const;
 
 private:
     struct parser;
     http_limits limits_;
+    const header_dialect& dialect_;
     bool answers_head_request_ = false;
     std::unique_ptr<parser> parser_;
 };
--- a/modules/av_http/av_http.hpp
+++ b/modules/av_http/av_http.hpp
@@ -8,6 +8,7 @@
 #include <av_http/answer_head.hpp>
 #include <av_http/answer_reader.hpp>
 #include <av_http/header_check.hpp>
+#include <av_http/header_dialect.hpp>
 #include <av_http/http_limits.hpp>
 #include <av_http/message_writer.hpp>
 #include <av_http/read_result.hpp>
--- a/modules/av_http/message_parser.hpp
+++ b/modules/av_http/message_parser.hpp
@@ -65,6 +65,10 @@
     virtual bool take_field(http_field id,
                             std::string_view name,
                             std::string_view value) = 0;
+    // Takes the Keep-Alive field, which concerns this connection.
+    virtual void take_keep_alive(std::string_view)
+    {
+    }
     // Checks the header as a whole.
     virtual bool take_header_end() = 0;
 
@@ -227,6 +231,8 @@
             return true;
         // Fields that concern one connection only.
         case http_field::keep_alive:
+            take_keep_alive(value);
+            return true;
         case http_field::proxy_connection:
         case http_field::proxy_authenticate:
         case http_field::proxy_authorization:
--- a/modules/av_http/message_writer.cpp
+++ b/modules/av_http/message_writer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdio>
 
 namespace anvilturn
 {
@@ -19,10 +20,15 @@
     output.append(digits, end);
 }
 
+// Appends a field unless the dialect has none of this kind.
 void append_field(std::string& output,
                   std::string_view name,
                   std::string_view value)
 {
+    if (name.empty())
+    {
+        return;
+    }
     output.append(name).append(": ").append(value).append("\r\n");
 }
 
@@ -30,6 +36,10 @@
                          std::string_view name,
                          std::uint64_t value)
 {
+    if (name.empty())
+    {
+        return;
+    }
     output.append(name).append(": ");
     append_number(output, value);
     output.append("\r\n");
@@ -43,7 +53,8 @@
     {
         append_number_field(output, "Content-Length", length);
     }
-    if (framing == body_framing::chunked)
+    if (framing == body_framing::chunked ||
+        framing == body_framing::until_close)
     {
         output.append("Transfer-Encoding: chunked\r\n");
     }
@@ -74,6 +85,20 @@
     }
 }
 
+// Whole seconds are written as such, since few recipients read fractions.
+void append_retry_after(std::string& output, milliseconds value)
+{
+    constexpr double milliseconds_per_second = 1000.0;
+    if (value.count() <= 0.0)
+    {
+        return;
+    }
+    char text[32];
+    const int size = std::snprintf(
+        text, sizeof text, "%.3g", value.count() / milliseconds_per_second);
+    append_field(output, "Retry-After", {text, static_cast<std::size_t>(size)});
+}
+
 std::string_view phrase_of(int status)
 {
     switch (status)
@@ -88,6 +113,8 @@
         return "Request Timeout";
     case 413:
         return "Content Too Large";
+    case 429:
+        return "Too Many Requests";
     case 431:
         return "Request Header Fields Too Large";
     case 502:
@@ -103,24 +130,36 @@
 
 } // namespace
 
+const header_dialect& native_dialect()
+{
+    static const header_dialect dialect;
+    return dialect;
+}
+
 void write_request_head(std::string& output,
                         const request_head& head,
-                        const request_additions& additions)
+                        const request_additions& additions,
+                        const header_dialect& dialect)
 {
     output.append(head.method_).append(" ").append(head.target_);
     output.append(" HTTP/1.1\r\n").append(head.fields_);
-    append_field(output, "Anvilturn-Call-Id", additions.call_id_);
+    append_field(output, dialect.call_id_, additions.call_id_);
     append_number_field(output,
-                        "Anvilturn-Deadline-Ms",
+                        dialect.deadline_,
                         static_cast<std::uint64_t>(
                             std::max(1.0, additions.deadline_left_.count())));
     append_number_field(output,
-                        "Anvilturn-Depth",
+                        dialect.depth_,
                         static_cast<std::uint64_t>(additions.depth_));
     if (additions.forwarded_)
     {
-        output.append("Anvilturn-Forwarded: 1\r\n");
-        append_field(output, "Anvilturn-Deployment", additions.deployment_);
+        append_field(output, dialect.forwarded_, "1");
+        append_field(output, dialect.deployment_, additions.deployment_);
+    }
+    if (!additions.expected_target_.empty())
+    {
+        append_field(
+            output, dialect.expected_target_, additions.expected_target_);
     }
     append_framing(output, additions.framing_, additions.length_);
     output.append("\r\n");
@@ -128,15 +167,16 @@
 
 void write_answer_head(std::string& output,
                        const answer_head& head,
-                       const answer_additions& additions)
+                       const answer_additions& additions,
+                       const header_dialect& dialect)
 {
     append_status_line(output, head.status_, head.phrase_);
     output.append(head.fields_);
-    append_field(output, "Anvilturn-Call-Id", additions.call_id_);
-    append_field(output, "Anvilturn-Outcome", additions.outcome_);
+    append_field(output, dialect.call_id_, additions.call_id_);
+    append_field(output, dialect.outcome_, additions.outcome_);
     if (!additions.reason_.empty())
     {
-        append_field(output, "Anvilturn-Reason", additions.reason_);
+        append_field(output, dialect.reason_, additions.reason_);
     }
     if (additions.with_load_)
     {
@@ -157,28 +197,25 @@
     output.append("\r\n");
 }
 
-void write_own_answer(std::string& output, const own_answer& answer)
+void write_own_answer(std::string& output,
+                      const own_answer& answer,
+                      const header_dialect& dialect)
 {
     append_status_line(output, answer.status_, phrase_of(answer.status_));
     output.append("Content-Type: text/plain\r\n");
     if (!answer.call_id_.empty())
     {
-        append_field(output, "Anvilturn-Call-Id", answer.call_id_);
+        append_field(output, dialect.call_id_, answer.call_id_);
     }
     if (!answer.outcome_.empty())
     {
-        append_field(output, "Anvilturn-Outcome", answer.outcome_);
+        append_field(output, dialect.outcome_, answer.outcome_);
     }
     if (!answer.reason_.empty())
     {
-        append_field(output, "Anvilturn-Reason", answer.reason_);
-    }
-    if (answer.retry_after_ > 0)
-    {
-        append_number_field(output,
-                            "Retry-After",
-                            static_cast<std::uint64_t>(answer.retry_after_));
+        append_field(output, dialect.reason_, answer.reason_);
     }
+    append_retry_after(output, answer.retry_after_);
     if (!answer.keep_alive_)
     {
         output.append("Connection: close\r\n");
--- a/modules/av_http/message_writer.hpp
+++ b/modules/av_http/message_writer.hpp
@@ -3,6 +3,7 @@
 
 #include <av_core/milliseconds.hpp>
 #include <av_http/answer_head.hpp>
+#include <av_http/header_dialect.hpp>
 #include <av_http/read_result.hpp>
 #include <av_http/request_head.hpp>
 #include <av_model/call_outcome.hpp>
@@ -23,6 +24,8 @@
     // Whether the request goes to another VM rather than to a target.
     bool forwarded_ = false;
     std::string_view deployment_;
+    // Id of the target that the request is meant for; empty for any.
+    std::string_view expected_target_;
     body_framing framing_ = body_framing::none;
     std::uint64_t length_ = 0;
 };
@@ -46,8 +49,8 @@
     std::string_view call_id_;
     std::string_view outcome_;
     std::string_view reason_;
-    // Seconds; none if zero.
-    int retry_after_ = 0;
+    // When to come back; no such field if zero.
+    milliseconds retry_after_{0.0};
     bool keep_alive_ = true;
     // One line of text, without its line end.
     std::string_view text_;
@@ -57,13 +60,17 @@
 // Append the message's header, with the empty line, to the output.
 void write_request_head(std::string& output,
                         const request_head& head,
-                        const request_additions& additions);
+                        const request_additions& additions,
+                        const header_dialect& dialect = native_dialect());
 void write_answer_head(std::string& output,
                        const answer_head& head,
-                       const answer_additions& additions);
+                       const answer_additions& additions,
+                       const header_dialect& dialect = native_dialect());
 
 // Appends a whole answer with its body.
-void write_own_answer(std::string& output, const own_answer& answer);
+void write_own_answer(std::string& output,
+                      const own_answer& answer,
+                      const header_dialect& dialect = native_dialect());
 
 // Append one chunk, or the end, of a chunked body.
 void write_chunk(std::string& output, std::string_view bytes);
--- a/modules/av_http/read_result.hpp
+++ b/modules/av_http/read_result.hpp
@@ -26,7 +26,9 @@
 {
     none,
     length,
-    chunked
+    chunked,
+    // An answer's body that ends when the target closes the connection.
+    until_close
 };
 
 // What one step of reading did.
--- a/modules/av_http/request_reader.cpp
+++ b/modules/av_http/request_reader.cpp
@@ -49,8 +49,9 @@
 class collecting_parser : public detail::message_parser<true>
 {
 public:
-    explicit collecting_parser(request_head& head)
+    collecting_parser(request_head& head, const header_dialect& dialect)
         : head_(head)
+        , dialect_(dialect)
     {
     }
 
@@ -91,11 +92,12 @@
                 equals_ignoring_case(value, "100-continue");
             return head_.expects_continue_;
         }
-        constexpr std::string_view own_prefix = "Anvilturn-";
-        if (id == http_field::unknown &&
-            equals_ignoring_case(name.substr(0, own_prefix.size()), own_prefix))
+        if (id == http_field::unknown)
         {
-            return take_own_field(name.substr(own_prefix.size()), value);
+            if (const auto taken = take_own_field(name, value))
+            {
+                return *taken;
+            }
         }
         pass_on(head_.fields_, name, value);
         return true;
@@ -113,19 +115,26 @@
         return true;
     }
 
-    bool take_own_field(std::string_view name, std::string_view value)
+    // Returns whether the value is acceptable; nothing for a field that is
+    // passed on.
+    std::optional<bool> take_own_field(std::string_view name,
+                                       std::string_view value)
     {
-        if (equals_ignoring_case(name, "Call-Id"))
+        const auto is = [name](const std::string& known)
+        {
+            return !known.empty() && equals_ignoring_case(name, known);
+        };
+        if (is(dialect_.call_id_))
         {
             const bool first = head_.call_id_.empty();
             head_.call_id_.assign(value);
             return first && is_call_id(value);
         }
-        if (equals_ignoring_case(name, "Deadline-Ms"))
+        if (is(dialect_.deadline_))
         {
             return take_deadline(value);
         }
-        if (equals_ignoring_case(name, "Depth"))
+        if (is(dialect_.depth_))
         {
             const auto depth = parse_number(value);
             const bool valid =
@@ -133,16 +142,21 @@
             head_.depth_ = valid ? static_cast<int>(*depth) : 0;
             return valid;
         }
-        if (equals_ignoring_case(name, "Forwarded"))
+        if (is(dialect_.forwarded_))
         {
             head_.forwarded_ = value == "1";
         }
-        if (equals_ignoring_case(name, "Deployment"))
+        if (is(dialect_.deployment_))
         {
             head_.deployment_.assign(value);
         }
         // Other fields of this system are for answers: not passed on.
-        return true;
+        const std::string_view prefix = dialect_.own_prefix_;
+        const bool is_own =
+            is(dialect_.expected_target_) ||
+            (!prefix.empty() &&
+             equals_ignoring_case(name.substr(0, prefix.size()), prefix));
+        return is_own ? std::optional<bool>(true) : std::nullopt;
     }
 
     bool take_deadline(std::string_view value)
@@ -173,6 +187,7 @@
     }
 
     request_head& head_;
+    const header_dialect& dialect_;
     bool host_seen_ = false;
 };
 
@@ -218,8 +233,10 @@
     std::optional<collecting_parser> parser_;
 };
 
-request_reader::request_reader(const http_limits& limits)
+request_reader::request_reader(const http_limits& limits,
+                               const header_dialect& dialect)
     : limits_(limits)
+    , dialect_(dialect)
     , parser_(std::make_unique<parser>())
 {
     reset();
@@ -230,7 +247,7 @@
 void request_reader::reset()
 {
     parser_->head_.clear();
-    auto& beast = parser_->parser_.emplace(parser_->head_);
+    auto& beast = parser_->parser_.emplace(parser_->head_, dialect_);
     beast.eager(true);
     beast.header_limit(static_cast<std::uint32_t>(limits_.header_bytes_));
     beast.body_limit(limits_.body_bytes_);
--- a/modules/av_http/request_reader.hpp
+++ b/modules/av_http/request_reader.hpp
@@ -1,6 +1,7 @@
 #ifndef AV_HTTP_REQUEST_READER_HPP
 #define AV_HTTP_REQUEST_READER_HPP
 
+#include <av_http/header_dialect.hpp>
 #include <av_http/http_limits.hpp>
 #include <av_http/read_result.hpp>
 #include <av_http/request_head.hpp>
@@ -19,7 +20,8 @@
 class request_reader
 {
 public:
-    explicit request_reader(const http_limits& limits);
+    explicit request_reader(const http_limits& limits,
+                            const header_dialect& dialect = native_dialect());
     ~request_reader();
     request_reader(const request_reader&) = delete;
     request_reader& operator=(const request_reader&) = delete;
@@ -39,6 +41,7 @@
 private:
     struct parser;
     http_limits limits_;
+    const header_dialect& dialect_;
     std::unique_ptr<parser> parser_;
 };
 
--- a/modules/av_limits/call_queue.hpp
+++ b/modules/av_limits/call_queue.hpp
@@ -107,6 +107,17 @@
         return std::nullopt;
     }
 
+    // Returns the call that pop would take out; null if none waits.
+    const Call* peek() const
+    {
+        auto turn = turn_;
+        const auto value = next_class(
+            turn, {calls_[0].size(), calls_[1].size(), calls_[2].size()});
+        return value
+                   ? &calls_[static_cast<std::size_t>(*value)].front().call_
+                   : nullptr;
+    }
+
     // Takes out the call whose turn it is; nothing if none waits.
     std::optional<Call> pop()
     {
--- /dev/null
+++ b/modules/av_limits/patience.cpp
@@ -0,0 +1,39 @@
+#include <av_limits/patience.hpp>
+
+#include <algorithm>
+
+namespace anvilturn
+{
+namespace
+{
+
+// Part of the objective that a call waits for in any case.
+constexpr double least_wait_share = 0.125;
+// Callers wait for a third of the time that they have left at most.
+constexpr double longest_delay_share = 1.0 / 3.0;
+constexpr double shortest_delay_share = 0.1;
+
+} // namespace
+
+milliseconds give_up_point(const wait_facts& facts) noexcept
+{
+    const auto latest = facts.deadline_ - facts.usual_time_;
+    if (facts.objective_.count() <= 0.0)
+    {
+        return latest;
+    }
+    const auto in_time =
+        facts.arrived_ + facts.objective_ - facts.usual_time_;
+    const auto least = facts.arrived_ + facts.objective_ * least_wait_share;
+    return std::min(latest, std::max(in_time, least));
+}
+
+milliseconds delay_before_return(milliseconds time_left, double random) noexcept
+{
+    const double share =
+        shortest_delay_share +
+        (longest_delay_share - shortest_delay_share) * random;
+    return std::max(return_at_once, time_left * share);
+}
+
+} // namespace anvilturn
--- /dev/null
+++ b/modules/av_limits/patience.hpp
@@ -0,0 +1,39 @@
+#ifndef AV_LIMITS_PATIENCE_HPP
+#define AV_LIMITS_PATIENCE_HPP
+
+#include <av_core/milliseconds.hpp>
+
+namespace anvilturn
+{
+
+// What decides how long a call waits for a target. Points in time are of the
+// monotonic clock.
+struct wait_facts
+{
+    milliseconds arrived_;
+    milliseconds deadline_;
+    // The latency objective of its rule; zero if there is none.
+    milliseconds objective_{0.0};
+    // Time that nearly all calls of the service stay below at a target.
+    milliseconds usual_time_{0.0};
+};
+
+// Returns the point until which the call waits for a target. With a latency
+// objective it is refused once it would miss that, so that the caller learns
+// early when to come back; it waits for a small part of the objective in any
+// case. Never later than the deadline allows.
+milliseconds give_up_point(const wait_facts& facts) noexcept;
+
+// Returns the value of Retry-After for a call that was refused for want of
+// room: a random time within the part of the caller's time left that callers
+// wait for, so that calls refused together don't return together. Random is
+// in 0 to 1.
+milliseconds delay_before_return(milliseconds time_left,
+                                 double random) noexcept;
+
+// Value of Retry-After where another VM can take the call at once.
+constexpr milliseconds return_at_once{20.0};
+
+} // namespace anvilturn
+
+#endif
--- a/modules/av_model/av_model.hpp
+++ b/modules/av_model/av_model.hpp
@@ -10,6 +10,7 @@
 #include <av_model/load_report.hpp>
 #include <av_model/release.hpp>
 #include <av_model/rule_spec.hpp>
+#include <av_model/service_part.hpp>
 #include <av_model/service_spec.hpp>
 #include <av_model/target_notice.hpp>
 #include <av_model/target_spec.hpp>
--- a/modules/av_model/load_report.hpp
+++ b/modules/av_model/load_report.hpp
@@ -16,11 +16,14 @@
     int queued_calls_ = 0;
     int slots_ = 0;
     bool draining_ = false;
+    // How many times longer than usual work takes on the target's machine now.
+    double slowdown_ = 1.0;
 
     // Returns all members, for comparison.
     auto tie() const
     {
-        return std::tie(busy_slots_, queued_calls_, slots_, draining_);
+        return std::tie(
+            busy_slots_, queued_calls_, slots_, draining_, slowdown_);
     }
 };
 
--- a/modules/av_model/rule_spec.hpp
+++ b/modules/av_model/rule_spec.hpp
@@ -3,6 +3,8 @@
 
 #include <av_core/comparison.hpp>
 
+#include <av_core/milliseconds.hpp>
+#include <av_model/service_part.hpp>
 #include <av_model/traffic_class.hpp>
 
 #include <string>
@@ -34,6 +36,16 @@
     // Whether a call may be sent to a target twice. False is the safe value;
     // the HTTP method is not trusted.
     bool idempotent_ = false;
+    // The services that share the calls by weight, instead of service_; empty
+    // for a rule with one service.
+    std::vector<service_part> split_;
+    // A call is answered within this time, whatever its deadline; zero leaves
+    // it to the deadline.
+    milliseconds timeout_{0.0};
+    // The latency objective; zero if there is none.
+    milliseconds objective_{0.0};
+    // Targets to which one call may be sent.
+    int most_attempts_ = 3;
 
     // Returns all members, for comparison.
     auto tie() const
@@ -46,7 +58,11 @@
                         header_value_,
                         service_,
                         class_,
-                        idempotent_);
+                        idempotent_,
+                        split_,
+                        timeout_,
+                        objective_,
+                        most_attempts_);
     }
 
     friend bool operator==(const rule_spec& a, const rule_spec& b)
--- /dev/null
+++ b/modules/av_model/service_part.hpp
@@ -0,0 +1,38 @@
+#ifndef AV_MODEL_SERVICE_PART_HPP
+#define AV_MODEL_SERVICE_PART_HPP
+
+#include <av_core/comparison.hpp>
+
+#include <string>
+#include <tuple>
+
+namespace anvilturn
+{
+
+// One of the services that share the calls of a rule.
+struct service_part
+{
+    std::string service_;
+    // Share of the calls, relative to the weights of the other parts.
+    double weight_ = 1.0;
+
+    // Returns all members, for comparison.
+    auto tie() const
+    {
+        return std::tie(service_, weight_);
+    }
+
+    friend bool operator==(const service_part& a, const service_part& b)
+    {
+        return a.tie() == b.tie();
+    }
+
+    friend bool operator!=(const service_part& a, const service_part& b)
+    {
+        return !(a == b);
+    }
+};
+
+} // namespace anvilturn
+
+#endif
--- a/modules/av_model/service_spec.hpp
+++ b/modules/av_model/service_spec.hpp
@@ -32,6 +32,10 @@
     // Calls that one target should get at once from one VM that is not the
     // service's dispatcher; zero leaves it to the adaptive limit.
     int target_concurrency_ = 0;
+    // Failures in a row after which a target is ejected for a while.
+    int ejecting_failures_ = 3;
+    // Path of the targets' health checks; empty if they have none.
+    std::string health_path_;
 
     // Returns all members, for comparison.
     auto tie() const
@@ -43,7 +47,9 @@
                         retry_ratio_,
                         probes_per_second_,
                         probe_cost_,
-                        target_concurrency_);
+                        target_concurrency_,
+                        ejecting_failures_,
+                        health_path_);
     }
 
     friend bool operator==(const service_spec& a, const service_spec& b)
--- a/modules/av_model/target_spec.hpp
+++ b/modules/av_model/target_spec.hpp
@@ -3,6 +3,7 @@
 
 #include <av_core/comparison.hpp>
 
+#include <cstdint>
 #include <string>
 #include <tuple>
 
@@ -24,6 +25,9 @@
     int connection_limit_ = 330;
     // A draining target finishes what it has and gets no new work.
     bool draining_ = false;
+    // Tells one start of the target from another under the same name; zero if
+    // unknown.
+    std::int64_t incarnation_ = 0;
 
     // Returns all members, for comparison.
     auto tie() const
@@ -34,7 +38,8 @@
                         failure_domain_,
                         slots_,
                         connection_limit_,
-                        draining_);
+                        draining_,
+                        incarnation_);
     }
 
     friend bool operator==(const target_spec& a, const target_spec& b)
--- a/modules/av_net/av_net.hpp
+++ b/modules/av_net/av_net.hpp
@@ -8,6 +8,7 @@
 
 #include <av_net/duration.hpp>
 #include <av_net/endpoint.hpp>
+#include <av_net/http_caller.hpp>
 #include <av_net/http_exchange.hpp>
 
 #endif
--- a/modules/av_net/http_exchange.cpp
+++ b/modules/av_net/http_exchange.cpp
@@ -2,6 +2,9 @@
 
 #include <av_net/duration.hpp>
 
+#include <netinet/tcp.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace anvilturn
@@ -15,6 +18,16 @@
 using tcp = asio::ip::tcp;
 
 constexpr std::uint32_t answer_header_limit = 8192;
+constexpr milliseconds longest_connect{1000.0};
+// A connection on which the other side is silent for good is found within
+// about three seconds, also while an answer is waited for.
+constexpr int keep_alive_idle_seconds = 1;
+constexpr int keep_alive_interval_seconds = 1;
+constexpr int keep_alive_probes = 2;
+constexpr int unacknowledged_limit_ms = 3000;
+
+template <int Level, int Name>
+using integer_option = asio::detail::socket_option::integer<Level, Name>;
 
 // Whether the answer broke the protocol, rather than not arriving whole.
 bool is_protocol_error(boost::system::error_code error)
@@ -43,12 +56,13 @@
                           http_callback done)
 {
     done_ = std::move(done);
-    stream_->expires_after(to_duration(timeout));
+    timeout_ = timeout;
     if (stream_->socket().is_open())
     {
         write();
         return;
     }
+    stream_->expires_after(to_duration(std::min(timeout, longest_connect)));
     stream_->async_connect(
         endpoint,
         [self = shared_from_this()](boost::system::error_code error)
@@ -81,11 +95,31 @@
         return;
     }
     stream_->socket().set_option(tcp::no_delay(true), error);
+    keep_alive();
     write();
 }
 
+void http_exchange::keep_alive()
+{
+    auto& socket = stream_->socket();
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(
+        integer_option<IPPROTO_TCP, TCP_KEEPIDLE>(keep_alive_idle_seconds),
+        ignored);
+    socket.set_option(
+        integer_option<IPPROTO_TCP, TCP_KEEPINTVL>(keep_alive_interval_seconds),
+        ignored);
+    socket.set_option(
+        integer_option<IPPROTO_TCP, TCP_KEEPCNT>(keep_alive_probes), ignored);
+    socket.set_option(
+        integer_option<IPPROTO_TCP, TCP_USER_TIMEOUT>(unacknowledged_limit_ms),
+        ignored);
+}
+
 void http_exchange::write()
 {
+    stream_->expires_after(to_duration(timeout_));
     http::async_write(*stream_,
                       request_,
                       [self = shared_from_this()](
--- a/modules/av_net/http_exchange.hpp
+++ b/modules/av_net/http_exchange.hpp
@@ -54,7 +54,10 @@
                   http_request request,
                   std::size_t body_limit);
 
-    // Calls back once, later, unless it is abandoned before.
+    // Calls back once, later, unless it is abandoned before. The timeout holds
+    // for the exchange once a connection stands; making one has a limit of its
+    // own, so that a long wait for an answer does not delay the finding that
+    // the server is away.
     void start(const boost::asio::ip::tcp::endpoint& endpoint,
                milliseconds timeout,
                http_callback done);
@@ -67,6 +70,7 @@
     std::unique_ptr<boost::beast::tcp_stream> take_stream();
 
 private:
+    void keep_alive();
     void write();
     void on_connected(boost::system::error_code error);
     void on_written(boost::system::error_code error);
@@ -81,6 +85,7 @@
         parser_;
     boost::beast::flat_buffer buffer_;
     std::size_t body_limit_;
+    milliseconds timeout_;
     bool keeps_alive_ = false;
     http_callback done_;
 };
--- a/modules/av_platform/platform_client.cpp
+++ b/modules/av_platform/platform_client.cpp
@@ -1,8 +1,7 @@
 #include <av_platform/platform_client.hpp>
 
 #include <av_core/error.hpp>
-#include <av_net/endpoint.hpp>
-#include <av_net/http_exchange.hpp>
+#include <av_net/http_caller.hpp>
 #include <av_platform/platform_codec.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -19,11 +18,7 @@
 {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
-using tcp = asio::ip::tcp;
-
-constexpr std::size_t idle_connection_limit = 4;
 
 using answer_callback = std::function<void(absl::StatusOr<http_answer>)>;
 
@@ -105,7 +100,7 @@
 
 } // namespace
 
-// Keeps the idle connections and the exchanges under way.
+// Counts the calls and judges their ends.
 class platform_client::implementation
     : public std::enable_shared_from_this<implementation>
 {
@@ -113,27 +108,14 @@
     using counter = std::atomic<std::uint64_t>;
 
     implementation(asio::io_context& context, platform_client_options options)
-        : context_(context)
-        , options_(std::move(options))
-        , endpoint_(parse_endpoint(options_.address_))
-    {
-    }
-
-    void stop()
+        : options_(std::move(options))
+        , caller_(context, options_.address_, options_.body_limit_)
     {
-        for (const auto& entry : running_)
-        {
-            entry.second->abandon();
-        }
-        running_.clear();
-        idle_.clear();
     }
 
     http_request make_request(http::verb method, const std::string& path) const
     {
-        http_request request(method, path, 11);
-        request.set(http::field::host, options_.address_);
-        return request;
+        return http_request(method, path, 11);
     }
 
     // Sends the request; the answer has one of the documented successes.
@@ -144,30 +126,17 @@
               answer_callback done)
     {
         kind.fetch_add(1, std::memory_order_relaxed);
-        if (!endpoint_)
-        {
-            fail_later("the address '" + options_.address_ +
-                           "' is no IP number and port",
-                       std::move(done));
-            return;
-        }
-        const auto started = std::make_shared<http_exchange>(
-            take_connection(), std::move(request), options_.body_limit_);
-        running_[started.get()] = started;
-        started->start(
-            *endpoint_,
-            options_.call_timeout_ + extra_time,
-            [weak = weak_from_this(),
-             key = started.get(),
-             effect,
-             done = std::move(done)](http_result result)
-            {
-                if (const auto self = weak.lock())
-                {
-                    self->on_finished(
-                        key, to_answer(std::move(result), effect), done);
-                }
-            });
+        caller_.call(std::move(request),
+                     options_.call_timeout_ + extra_time,
+                     [this, effect, done = std::move(done)](http_result result)
+                     {
+                         auto answer = to_answer(std::move(result), effect);
+                         if (!answer.ok())
+                         {
+                             count_failure(answer.status());
+                         }
+                         done(std::move(answer));
+                     });
     }
 
     platform_call_counts counts() const
@@ -179,7 +148,7 @@
                 watches_,
                 vm_lists_,
                 failures_,
-                connections_};
+                caller_.connections()};
     }
 
     counter gets_{0};
@@ -190,41 +159,6 @@
     counter vm_lists_{0};
 
 private:
-    void fail_later(const std::string& what, answer_callback done)
-    {
-        failures_.fetch_add(1, std::memory_order_relaxed);
-        asio::post(
-            context_,
-            [weak = weak_from_this(), what, done]
-            {
-                if (weak.lock())
-                {
-                    done(make_error(error_kind::platform_unreachable, what));
-                }
-            });
-    }
-
-    void on_finished(http_exchange* key,
-                     absl::StatusOr<http_answer> answer,
-                     const answer_callback& done)
-    {
-        const auto finished = running_.extract(key);
-        keep_connection(finished.mapped()->take_stream());
-        if (!answer.ok())
-        {
-            count_failure(answer.status());
-        }
-        done(std::move(answer));
-    }
-
-    void keep_connection(std::unique_ptr<beast::tcp_stream> stream)
-    {
-        if (stream && idle_.size() < idle_connection_limit)
-        {
-            idle_.push_back(std::move(stream));
-        }
-    }
-
     void count_failure(const absl::Status& status)
     {
         const auto kind = kind_of(status);
@@ -235,28 +169,9 @@
         }
     }
 
-    std::unique_ptr<beast::tcp_stream> take_connection()
-    {
-        while (!idle_.empty())
-        {
-            auto stream = std::move(idle_.back());
-            idle_.pop_back();
-            if (is_idle(*stream))
-            {
-                return stream;
-            }
-        }
-        connections_.fetch_add(1, std::memory_order_relaxed);
-        return std::make_unique<beast::tcp_stream>(context_);
-    }
-
-    asio::io_context& context_;
     platform_client_options options_;
-    std::optional<tcp::endpoint> endpoint_;
-    std::map<http_exchange*, std::shared_ptr<http_exchange>> running_;
-    std::vector<std::unique_ptr<beast::tcp_stream>> idle_;
     counter failures_{0};
-    counter connections_{0};
+    http_caller caller_;
 };
 
 namespace
@@ -322,10 +237,7 @@
 {
 }
 
-platform_client::~platform_client()
-{
-    implementation_->stop();
-}
+platform_client::~platform_client() = default;
 
 void platform_client::get(const std::string& key,
                           callback<std::optional<platform_object>> done)
--- a/modules/av_proxy/answer_status.cpp
+++ b/modules/av_proxy/answer_status.cpp
@@ -20,6 +20,7 @@
         return 431;
     case error_kind::target_answer_lost:
     case error_kind::target_answer_malformed:
+    case error_kind::target_failed:
         return 502;
     case error_kind::deadline_exceeded:
         return 504;
@@ -36,6 +37,7 @@
         return error_kind::deadline_unreachable;
     case error_kind::target_answer_lost:
     case error_kind::target_answer_malformed:
+    case error_kind::target_failed:
         return error_kind::target_unreachable;
     default:
         return cause;
@@ -54,6 +56,7 @@
     return cause == error_kind::target_unreachable ||
            cause == error_kind::target_answer_lost ||
            cause == error_kind::target_answer_malformed ||
+           cause == error_kind::target_failed ||
            cause == error_kind::deadline_exceeded;
 }
 
--- a/modules/av_proxy/caller_connection.cpp
+++ b/modules/av_proxy/caller_connection.cpp
@@ -26,7 +26,7 @@
     : worker_(owner)
     , socket_(std::move(socket))
     , timer_(owner.context())
-    , reader_(owner.core().settings_.limits_)
+    , reader_(owner.core().settings_.limits_, owner.core().settings_.dialect_)
     , call_(owner, *this)
     , from_vm_(from_vm)
     , active_at_(owner.now())
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -2,9 +2,11 @@
 
 #include <av_core/log_event.hpp>
 #include <av_http/message_writer.hpp>
+#include <av_limits/patience.hpp>
 #include <av_model/call_outcome.hpp>
 #include <av_proxy/answer_status.hpp>
 #include <av_proxy/worker.hpp>
+#include <av_routing/random_bits.hpp>
 
 #include <absl/strings/str_cat.h>
 
@@ -17,10 +19,12 @@
 {
 
 constexpr int largest_depth = 25;
-constexpr int most_attempts = 3;
+// Attempts that were refused count here too.
+constexpr int most_attempts_in_all = 8;
 constexpr int first_failed_status = 500;
+constexpr int bad_request_status = 400;
+constexpr int misdirected_status = 421;
 constexpr int busy_status = 503;
-constexpr int retry_after_seconds = 1;
 constexpr std::string_view own_path_prefix = "/.anvilturn/";
 constexpr std::string_view ready_path = "/.anvilturn/ready";
 constexpr auto relaxed = std::memory_order_relaxed;
@@ -62,9 +66,15 @@
         refuse(*refusal);
         return;
     }
-    life_.start(rule_->idempotent_);
-    const auto allowed =
-        head.deadline_.value_or(service_->spec_.default_deadline_);
+    idempotent_ = rule_->idempotent_;
+    most_attempts_ = rule_->most_attempts_;
+    objective_ = rule_->objective_;
+    life_.start(idempotent_);
+    auto allowed = head.deadline_.value_or(service_->spec_.default_deadline_);
+    if (rule_->timeout_.count() > 0.0)
+    {
+        allowed = std::min(allowed, rule_->timeout_);
+    }
     deadline_ = started_at_ + allowed;
     if (head.expects_continue_)
     {
@@ -167,7 +177,11 @@
 
 milliseconds proxied_call::due() const
 {
-    return connecting_ ? std::min(deadline_, connect_due_) : deadline_;
+    if (connecting_)
+    {
+        return std::min(deadline_, connect_due_);
+    }
+    return ticket_ ? std::min(deadline_, give_up_at_) : deadline_;
 }
 
 void proxied_call::on_due()
@@ -244,6 +258,18 @@
     return deadline_;
 }
 
+milliseconds proxied_call::begin_wait(milliseconds usual_time)
+{
+    wait_facts facts;
+    facts.arrived_ = started_at_;
+    facts.deadline_ = deadline_;
+    facts.objective_ = objective_;
+    facts.usual_time_ = usual_time;
+    give_up_at_ = give_up_point(facts);
+    link_.update_timer();
+    return give_up_at_;
+}
+
 const std::optional<queue_ticket>& proxied_call::ticket() const
 {
     return ticket_;
@@ -276,6 +302,10 @@
     additions.depth_ = to_vm_ ? head_->depth_ : head_->depth_ + 1;
     additions.forwarded_ = to_vm_;
     additions.deployment_ = worker_.core().settings_.deployment_;
+    if (!to_vm_)
+    {
+        additions.expected_target_ = target_->name_;
+    }
     additions.framing_ = head_->framing_;
     additions.length_ = head_->length_;
     if (request_complete_ && head_->framing_ == body_framing::chunked)
@@ -284,7 +314,10 @@
         additions.length_ = body_.size();
     }
     body_framing_ = additions.framing_;
-    write_request_head(connection.output(), *head_, additions);
+    write_request_head(connection.output(),
+                       *head_,
+                       additions,
+                       worker_.core().settings_.dialect_);
     body_given_ = 0;
     send_body();
 }
@@ -308,11 +341,12 @@
 
 void proxied_call::on_answer_head(const answer_head& head)
 {
-    if (to_vm_ ? take_vm_answer(head) : is_refusal(head))
+    const bool taken = to_vm_ ? take_vm_answer(head)
+                              : is_refusal(head) || take_failure(head);
+    if (!taken)
     {
-        return;
+        relay_head(head);
     }
-    relay_head(head);
 }
 
 void proxied_call::on_answer_body(std::string_view bytes)
@@ -323,16 +357,24 @@
     }
     if (answer_chunked_)
     {
-        write_chunk(link_.output(), bytes);
+        write_chunk(answer_output(), bytes);
     }
     else
     {
-        link_.output().append(bytes);
+        answer_output().append(bytes);
+    }
+    if (held_answer_.size() > worker_.core().settings_.held_body_bytes_)
+    {
+        release_answer();
     }
 }
 
 void proxied_call::on_input_processed()
 {
+    if (holds_answer_)
+    {
+        return;
+    }
     link_.flush();
     const bool slow =
         link_.unsent() > worker_.core().settings_.relay_buffer_bytes_;
@@ -345,13 +387,14 @@
 void proxied_call::on_answer_complete(bool reusable)
 {
     const auto connection = std::exchange(connection_, nullptr);
-    attempt_summary result;
-    result.answer_complete_ = true;
-    life_.end_attempt(result);
     if (answer_chunked_)
     {
-        write_last_chunk(link_.output());
+        write_last_chunk(answer_output());
     }
+    release_answer();
+    attempt_summary result;
+    result.answer_complete_ = true;
+    life_.end_attempt(result);
     if (reusable)
     {
         connection->park(worker_.now());
@@ -397,7 +440,10 @@
     home_tried_ = false;
     connecting_ = false;
     answer_chunked_ = false;
+    held_answer_.clear();
+    holds_answer_ = false;
     attempts_ = 0;
+    runs_ = 0;
     excluded_.clear();
     last_failure_.reset();
     vm_outcome_.clear();
@@ -437,8 +483,9 @@
         return error_kind::depth_exceeded;
     }
     rule_ = table_->rules_.match(*head_);
-    service_ =
-        rule_ == nullptr ? nullptr : table_->find_service(rule_->service_);
+    service_ = rule_ == nullptr
+                   ? nullptr
+                   : table_->find_service(worker_.service_of(*rule_));
     if (service_ == nullptr)
     {
         return error_kind::service_unknown;
@@ -484,7 +531,8 @@
         answer.text_ = "ready";
     }
     answer.keep_alive_ = head_->keep_alive_ && core.accepting_.load();
-    write_own_answer(link_.output(), answer);
+    write_own_answer(
+        link_.output(), answer, core.settings_.dialect_);
     life_.refuse();
     finish(answer.keep_alive_);
 }
@@ -543,7 +591,7 @@
         attempt_started_at_ + worker_.core().settings_.connect_timeout_;
     trace_attempt();
     connection_ = worker_.connect(target);
-    connection_->begin(*this, is_head_request_);
+    connection_->begin(*this, is_head_request_, call_id_);
     link_.update_timer();
 }
 
@@ -584,6 +632,10 @@
 {
     const auto* report = head.load_ ? &*head.load_ : nullptr;
     const auto now = worker_.now();
+    if (head.idle_limit_)
+    {
+        target_->idle_limit_ms_.store(head.idle_limit_->count(), relaxed);
+    }
     if (!record_answer(*target_, report, head.draining_, now))
     {
         return;
@@ -609,7 +661,14 @@
 bool proxied_call::is_refusal(const answer_head& head)
 {
     observe_answer(head);
-    if (head.status_ != busy_status || !head.not_run_)
+    if (head.status_ == misdirected_status &&
+        !worker_.core().settings_.dialect_.expected_target_.empty())
+    {
+        target_->moved_.store(true, relaxed);
+        end_attempt(error_kind::target_moved, true);
+        return true;
+    }
+    if (!head.not_run_ || head.status_ <= bad_request_status)
     {
         return false;
     }
@@ -646,15 +705,61 @@
     return false;
 }
 
-void proxied_call::relay_head(const answer_head& head)
+// Whether the call may go to another target though it may have run.
+bool proxied_call::may_try_elsewhere() const
+{
+    return idempotent_ && !body_dropped_ && runs_ < most_attempts_ &&
+           attempts_ < most_attempts_in_all && worker_.now() < deadline_ &&
+           may_spend(lane_->budget_);
+}
+
+// Takes up an answer that is none, or a failure that another target may spare
+// the caller. Returns whether the call goes on without it.
+bool proxied_call::take_failure(const answer_head& head)
 {
+    const bool unsigned_success =
+        !worker_.core().settings_.dialect_.signature_.empty() &&
+        !head.signed_ && head.status_ < bad_request_status;
+    if (unsigned_success)
+    {
+        end_attempt(error_kind::target_answer_malformed, false);
+        return true;
+    }
+    if (head.status_ < first_failed_status || !may_try_elsewhere())
+    {
+        return false;
+    }
+    end_attempt(error_kind::target_failed, false);
+    return true;
+}
+
+std::string& proxied_call::answer_output()
+{
+    return holds_answer_ ? held_answer_ : link_.output();
+}
+
+// Gives the caller what was held of the answer.
+void proxied_call::release_answer()
+{
+    if (!std::exchange(holds_answer_, false))
+    {
+        return;
+    }
     life_.record_answer_started();
+    link_.output().append(held_answer_);
+    held_answer_.clear();
+}
+
+void proxied_call::relay_head(const answer_head& head)
+{
+    holds_answer_ = true;
     // Another VM's outcomes speak of targets rather than of that VM.
     answer_failed_ = !to_vm_ && head.status_ >= first_failed_status;
     keep_alive_ = head_->keep_alive_ && request_complete_ &&
-                  worker_.core().accepting_.load(relaxed);
-    answer_chunked_ =
-        head.framing_ == body_framing::chunked && !is_head_request_;
+                  !worker_.core().draining_.load(relaxed);
+    answer_chunked_ = (head.framing_ == body_framing::chunked ||
+                       head.framing_ == body_framing::until_close) &&
+                      !is_head_request_;
     answer_additions additions;
     additions.call_id_ = call_id_;
     additions.outcome_ = vm_outcome_.empty() ? name_of(call_outcome::answered)
@@ -662,7 +767,10 @@
     additions.reason_ = vm_reason_;
     additions.keep_alive_ = keep_alive_;
     additions.with_load_ = came_from_vm_;
-    write_answer_head(link_.output(), head, additions);
+    write_answer_head(answer_output(),
+                      head,
+                      additions,
+                      worker_.core().settings_.dialect_);
 }
 
 void proxied_call::observe_end()
@@ -688,16 +796,21 @@
 {
     const auto keep = link_.share_call();
     last_failure_ = kind;
+    held_answer_.clear();
+    holds_answer_ = false;
     const auto service = service_->state_;
     const auto phase = life_.phase();
     const bool nothing_left = phase == call_phase::dispatched;
     const bool free_of_charge = to_vm_ || nothing_left;
+    runs_ += nothing_left || refused ? 0 : 1;
+    trace_loss(kind, refused);
     leave_connection(kind, refused);
     attempt_summary result;
     result.target_refused_ = refused;
     result.replayable_ = !body_dropped_;
     result.deadline_left_ = worker_.now() < deadline_;
-    result.budget_left_ = attempts_ < most_attempts &&
+    result.budget_left_ = runs_ < most_attempts_ &&
+                          attempts_ < most_attempts_in_all &&
                           (free_of_charge || may_spend(lane_->budget_));
     const auto verdict = life_.end_attempt(result);
     if (verdict == attempt_verdict::retry_allowed)
@@ -790,17 +903,33 @@
         name_of(not_run ? call_outcome::not_run : call_outcome::unknown);
     answer.reason_ = entry.name_;
     answer.text_ = entry.remedy_;
-    answer.retry_after_ =
-        answer.status_ == busy_status ? retry_after_seconds : 0;
+    if (answer.status_ == busy_status)
+    {
+        answer.retry_after_ = retry_after(reason);
+    }
     answer.keep_alive_ = head_ != nullptr && head_->keep_alive_ &&
                          request_complete_ &&
-                         worker_.core().accepting_.load(relaxed);
+                         !worker_.core().draining_.load(relaxed);
     answer.answers_head_request_ = is_head_request_;
-    write_own_answer(link_.output(), answer);
+    write_own_answer(
+        link_.output(), answer, worker_.core().settings_.dialect_);
     count(reason);
     finish(answer.keep_alive_);
 }
 
+// Returns when the caller should come back.
+milliseconds proxied_call::retry_after(error_kind reason) const
+{
+    const bool other_vm_may_serve = reason == error_kind::vm_stopping ||
+                                    reason == error_kind::vm_not_ready;
+    if (other_vm_may_serve)
+    {
+        return return_at_once;
+    }
+    return delay_before_return(deadline_ - worker_.now(),
+                               unit_interval(worker_.random_bits()));
+}
+
 // Counts a call that was not answered by a target.
 void proxied_call::count(error_kind kind)
 {
@@ -851,6 +980,22 @@
         .write();
 }
 
+void proxied_call::trace_loss(error_kind kind, bool refused) const
+{
+    if (!is_logged(log_level::info))
+    {
+        return;
+    }
+    log_event(log_level::info, "attempt_ended")
+        .field("call", call_id_)
+        .field("target", target_->name_)
+        .field("attempt", attempts_)
+        .field("reason", describe(kind).name_)
+        .field("refused", refused)
+        .field("ran_ms", (worker_.now() - attempt_started_at_).count())
+        .write();
+}
+
 void proxied_call::trace_end(std::string_view outcome,
                              std::string_view reason) const
 {
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -67,6 +67,9 @@
     bool refresh_service();
     traffic_class priority() const;
     milliseconds deadline() const;
+    // Begins to wait for a target. Returns the point at which the call gives
+    // up; the time is what calls of the service usually take.
+    milliseconds begin_wait(milliseconds usual_time);
     const std::optional<queue_ticket>& ticket() const;
     void set_ticket(std::optional<queue_ticket> value);
 
@@ -94,7 +97,11 @@
     void observe_end();
     bool is_refusal(const answer_head& head);
     bool take_vm_answer(const answer_head& head);
+    bool may_try_elsewhere() const;
+    bool take_failure(const answer_head& head);
     void relay_head(const answer_head& head);
+    std::string& answer_output();
+    void release_answer();
     void end_attempt(error_kind kind, bool refused);
     void leave_connection(error_kind kind, bool refused);
     void retry(bool free_of_charge);
@@ -103,7 +110,9 @@
     void respond(error_kind kind);
     void count(error_kind kind);
     void count_answered();
+    milliseconds retry_after(error_kind reason) const;
     void trace_attempt() const;
+    void trace_loss(error_kind kind, bool refused) const;
     void trace_end(std::string_view outcome, std::string_view reason) const;
     void finish(bool keep_alive);
 
@@ -125,6 +134,11 @@
 
     milliseconds started_at_;
     milliseconds deadline_;
+    // Until when the call waits for a target.
+    milliseconds give_up_at_;
+    milliseconds objective_;
+    bool idempotent_ = false;
+    int most_attempts_ = 0;
     milliseconds connect_due_;
 
     // The part of the request's body that is held, and how much of it this
@@ -145,10 +159,16 @@
     bool answer_chunked_ = false;
     bool keep_alive_ = true;
     bool answer_failed_ = false;
+    // The answer so far, while nothing of it was given to the caller. An
+    // answer that breaks off meanwhile can be had from another target.
+    std::string held_answer_;
+    bool holds_answer_ = false;
     // Why the attempt before this one ended.
     std::optional<error_kind> last_failure_;
     milliseconds attempt_started_at_;
     int attempts_ = 0;
+    // Attempts that may have run.
+    int runs_ = 0;
     std::vector<const target_state*> excluded_;
     // Outcome that another VM gave its answer; empty for a target's.
     std::string vm_outcome_;
--- a/modules/av_proxy/request_path.cpp
+++ b/modules/av_proxy/request_path.cpp
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <future>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -121,6 +122,7 @@
     std::mutex publishing_;
     release release_;
     fleet_view fleet_;
+    std::optional<std::map<std::string, target_spec>> registered_;
 
     absl::Status listen_all()
     {
@@ -152,7 +154,8 @@
     void publish_table()
     {
         const auto previous = core_.table_.load();
-        core_.table_.publish(build_routing_table(release_,
+        core_.table_.publish(build_routing_table(
+            registered_ ? with_targets(release_, *registered_) : release_,
                                                  fleet_,
                                                  core_.workers_.size(),
                                                  previous.get(),
@@ -234,6 +237,13 @@
     implementation_->publish_table();
 }
 
+void request_path::publish(const std::map<std::string, target_spec>& registered)
+{
+    const std::lock_guard<std::mutex> lock(implementation_->publishing_);
+    implementation_->registered_ = registered;
+    implementation_->publish_table();
+}
+
 void request_path::publish(const fleet_view& value)
 {
     const std::lock_guard<std::mutex> lock(implementation_->publishing_);
--- a/modules/av_proxy/request_path.hpp
+++ b/modules/av_proxy/request_path.hpp
@@ -12,6 +12,7 @@
 #include <absl/status/status.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -44,6 +45,10 @@
     // ignored.
     void publish(const release& value);
 
+    // Takes the targets that registered themselves, by name. From then on the
+    // targets that releases name don't count.
+    void publish(const std::map<std::string, target_spec>& registered);
+
     // Tells which VMs there are.
     void publish(const fleet_view& value);
 
--- a/modules/av_proxy/request_path_settings.hpp
+++ b/modules/av_proxy/request_path_settings.hpp
@@ -3,6 +3,7 @@
 
 #include <av_core/comparison.hpp>
 #include <av_core/milliseconds.hpp>
+#include <av_http/header_dialect.hpp>
 #include <av_http/http_limits.hpp>
 
 #include <cstddef>
@@ -24,6 +25,8 @@
     std::string forward_address_;
     std::size_t threads_ = 2;
     http_limits limits_;
+    // Names of the header fields; no part of the comparison.
+    header_dialect dialect_;
     // Connections of callers and VMs that one thread keeps open.
     std::size_t connections_per_thread_ = 8192;
     // Body bytes that a call holds before it is dispatched; a request of at
--- a/modules/av_proxy/routing_table.cpp
+++ b/modules/av_proxy/routing_table.cpp
@@ -24,13 +24,15 @@
         for (const auto& target : service->targets_)
         {
             if (target.spec_.name_ == spec.name_ &&
-                target.spec_.address_ == spec.address_)
+                target.spec_.address_ == spec.address_ &&
+                target.spec_.incarnation_ == spec.incarnation_)
             {
                 return target.state_;
             }
         }
     }
-    auto state = std::make_shared<target_state>(spec.name_, spec.address_);
+    auto state = std::make_shared<target_state>(
+        spec.name_, spec.address_, spec.incarnation_);
     if (service != nullptr)
     {
         state->cold_since_ms_.store(now.count());
@@ -135,6 +137,8 @@
         target_entry target;
         target.spec_ = spec;
         target.state_ = take_over_target(spec, previous, now);
+        target.state_->ejecting_streak_.store(
+            service->second.spec_.ejecting_failures_);
         target.same_domain_ =
             spec.failure_domain_ == fleet.self_.failure_domain_;
         target.connections_per_thread_ = connection_share(
@@ -144,6 +148,20 @@
     return table;
 }
 
+release with_targets(release value,
+                     const std::map<std::string, target_spec>& registered)
+{
+    value.targets_.clear();
+    for (const auto& entry : registered)
+    {
+        if (value.services_.count(entry.second.service_) != 0)
+        {
+            value.targets_.insert(entry);
+        }
+    }
+    return value;
+}
+
 int connection_share(int connection_limit,
                      std::size_t vm_count,
                      std::size_t thread_count)
--- a/modules/av_proxy/routing_table.hpp
+++ b/modules/av_proxy/routing_table.hpp
@@ -68,6 +68,11 @@
                     const routing_table* previous,
                     milliseconds now);
 
+// Replaces the targets that the release names by those that registered
+// themselves. Targets of services that the release does not name are left out.
+release with_targets(release value,
+                     const std::map<std::string, target_spec>& registered);
+
 // Returns the connections that one thread may have to a target: this VM's
 // share of the target's limit, split over its threads.
 int connection_share(int connection_limit,
--- a/modules/av_proxy/rule_matcher.hpp
+++ b/modules/av_proxy/rule_matcher.hpp
@@ -4,6 +4,8 @@
 #include <av_http/request_head.hpp>
 #include <av_model/rule_spec.hpp>
 
+#include <absl/container/flat_hash_map.h>
+
 #include <map>
 #include <string>
 #include <string_view>
@@ -25,10 +27,13 @@
     const rule_spec* match(const request_head& head) const;
 
 private:
-    std::vector<rule_spec> rules_;
+    // By host; rules for every host stand under the empty one.
+    absl::flat_hash_map<std::string, std::vector<rule_spec>> rules_;
 };
 
-// Returns whether the rule's prefix covers the path by whole segments.
+// Returns whether the rule's prefix covers the path: a prefix that ends with a
+// slash covers the paths that begin with it, another one covers whole
+// segments.
 bool covers_path(std::string_view prefix, std::string_view path);
 
 } // namespace anvilturn
--- a/modules/av_proxy/target_connection.cpp
+++ b/modules/av_proxy/target_connection.cpp
@@ -1,5 +1,6 @@
 #include <av_proxy/target_connection.hpp>
 
+#include <av_core/log_event.hpp>
 #include <av_net/endpoint.hpp>
 #include <av_proxy/worker.hpp>
 
@@ -24,7 +25,7 @@
     : worker_(owner)
     , pool_(std::move(pool))
     , socket_(owner.context())
-    , reader_(owner.core().settings_.limits_)
+    , reader_(owner.core().settings_.limits_, owner.core().settings_.dialect_)
 {
     ++pool_->open_;
     pool_->state_->connections_.fetch_add(1, std::memory_order_relaxed);
@@ -47,9 +48,14 @@
     return error == asio::error::would_block;
 }
 
-void target_connection::begin(attempt_observer& observer, bool is_head_request)
+void target_connection::begin(attempt_observer& observer,
+                              bool is_head_request,
+                              std::string_view call_id)
 {
     observer_ = &observer;
+    call_id_.assign(call_id);
+    is_head_request_ = is_head_request;
+    passing_over_ = false;
     reader_.reset(is_head_request);
     output_.clear();
     head_passed_ = false;
@@ -259,6 +265,11 @@
         wait_readable();
         return;
     }
+    if (error == asio::error::eof && head_passed_ && reader_.finish())
+    {
+        end_answer(false);
+        return;
+    }
     if (error)
     {
         lose(error_kind::target_answer_lost);
@@ -328,19 +339,46 @@
     if (result.state_ != read_state::in_header && !head_passed_)
     {
         head_passed_ = true;
-        if (observer_ != nullptr)
+        passing_over_ = is_of_other_call();
+        if (observer_ != nullptr && !passing_over_)
         {
             observer_->on_answer_head(reader_.head());
         }
     }
-    if (!body.empty() && observer_ != nullptr && !closed_)
+    if (!body.empty() && observer_ != nullptr && !passing_over_ && !closed_)
     {
         observer_->on_answer_body(body);
     }
     complete = result.state_ == read_state::complete;
+    if (complete && passing_over_)
+    {
+        complete = false;
+        pass_over();
+    }
     return result.consumed_;
 }
 
+// Whether the answer belongs to another call: a target may answer one twice.
+bool target_connection::is_of_other_call() const
+{
+    const auto& id = reader_.head().call_id_;
+    return worker_.core().settings_.dialect_.answers_name_call_ &&
+           !id.empty() && id != call_id_;
+}
+
+// Goes on to the answer that follows one to another call.
+void target_connection::pass_over()
+{
+    log_event(log_level::info, "stray_answer_dropped")
+        .field("call", call_id_)
+        .field("stray_call", reader_.head().call_id_)
+        .field("target", pool_->state_->name_)
+        .write();
+    passing_over_ = false;
+    head_passed_ = false;
+    reader_.reset(is_head_request_);
+}
+
 void target_connection::end_answer(bool surplus)
 {
     const bool reusable = !surplus && request_complete_ &&
--- a/modules/av_proxy/target_connection.hpp
+++ b/modules/av_proxy/target_connection.hpp
@@ -49,8 +49,10 @@
     bool is_clean();
 
     // Begins an attempt; on_connected is called at once if the connection
-    // stands.
-    void begin(attempt_observer& observer, bool is_head_request);
+    // stands. Answers that bear the id of another call are passed over.
+    void begin(attempt_observer& observer,
+               bool is_head_request,
+               std::string_view call_id);
 
     // Where the request is appended; flush sends it.
     std::string& output();
@@ -89,6 +91,8 @@
     void on_readable(const boost::system::error_code& error);
     void wait_writable();
     void process(std::string_view input);
+    bool is_of_other_call() const;
+    void pass_over();
     std::size_t read_message(std::string_view input, bool& complete);
     void end_answer(bool surplus);
     void lose(error_kind kind);
@@ -102,6 +106,10 @@
     // Bytes that arrived and were not read yet.
     std::string pending_;
     attempt_observer* observer_ = nullptr;
+    std::string call_id_;
+    bool is_head_request_ = false;
+    // An answer to another call is being read.
+    bool passing_over_ = false;
     milliseconds parked_at_;
     bool connected_ = false;
     bool closed_ = false;
--- a/modules/av_proxy/target_state.cpp
+++ b/modules/av_proxy/target_state.cpp
@@ -68,6 +68,19 @@
     }
 }
 
+void store_report(target_state& state,
+                  const load_report& report,
+                  int own_in_flight,
+                  milliseconds now) noexcept
+{
+    state.reported_load_.store(report.busy_slots_ + report.queued_calls_,
+                               relaxed);
+    state.own_in_flight_at_report_.store(own_in_flight, relaxed);
+    state.sent_since_report_.store(0, relaxed);
+    state.reported_slowdown_.store(report.slowdown_, relaxed);
+    state.reported_at_ms_.store(now.count(), relaxed);
+}
+
 } // namespace
 
 bool try_acquire_slot(target_state& state, int limit) noexcept
@@ -95,11 +108,7 @@
     {
         // The call that is being answered has left its slot.
         const int others = std::max(0, state.own_in_flight_.load(relaxed) - 1);
-        state.reported_load_.store(report->busy_slots_ + report->queued_calls_,
-                                   relaxed);
-        state.own_in_flight_at_report_.store(others, relaxed);
-        state.sent_since_report_.store(0, relaxed);
-        state.reported_at_ms_.store(now.count(), relaxed);
+        store_report(state, *report, others, now);
     }
     if (draining)
     {
@@ -109,6 +118,14 @@
     return false;
 }
 
+void record_asked(target_state& state,
+                  const load_report& report,
+                  milliseconds now) noexcept
+{
+    store_report(state, report, state.own_in_flight_.load(relaxed), now);
+    state.answered_at_ms_.store(now.count(), relaxed);
+}
+
 void record_latency(target_state& state,
                     milliseconds latency,
                     int slots) noexcept
@@ -135,7 +152,9 @@
 
 void record_result(target_state& state, bool failed, milliseconds now) noexcept
 {
-    store_outlier(state, after_result(outlier_of(state), failed, now), now);
+    const int streak = state.ejecting_streak_.load(relaxed);
+    store_outlier(
+        state, after_result(outlier_of(state), failed, now, streak), now);
 }
 
 void record_unreachable(target_state& state, milliseconds now) noexcept
@@ -202,8 +221,8 @@
                                const target_state& state,
                                const choice_moment& moment) noexcept
 {
-    const bool leaves =
-        spec.draining_ || state.draining_since_ms_.load() >= 0.0;
+    const bool leaves = spec.draining_ || state.moved_.load(relaxed) ||
+                        state.draining_since_ms_.load() >= 0.0;
     if (leaves ||
         moment.now_.count() < state.unreachable_until_ms_.load(relaxed))
     {
@@ -235,6 +254,8 @@
     view.own_in_flight_at_report_ =
         state.own_in_flight_at_report_.load(relaxed);
     view.sent_since_report_ = state.sent_since_report_.load(relaxed);
+    view.reported_slowdown_ = state.reported_slowdown_.load(relaxed);
+    view.says_unhealthy_ = state.says_unhealthy_.load(relaxed);
     view.latency_ = milliseconds(state.latency_ms_.load(relaxed));
     view.probed_load_ = state.probed_load_.load(relaxed);
     view.probe_age_ = now - milliseconds(state.probed_at_ms_.load(relaxed));
--- a/modules/av_proxy/target_state.hpp
+++ b/modules/av_proxy/target_state.hpp
@@ -24,14 +24,21 @@
 // choice. Points in time are of the monotonic clock, negative for never.
 struct target_state
 {
-    target_state(std::string name, std::string address)
+    target_state(std::string name,
+                 std::string address,
+                 std::int64_t incarnation = 0)
         : name_(std::move(name))
         , address_(std::move(address))
+        , incarnation_(incarnation)
     {
     }
 
     const std::string name_;
     const std::string address_;
+    // See target_spec.
+    const std::int64_t incarnation_;
+    // Failures in a row that eject the target.
+    std::atomic<int> ejecting_streak_{usual_ejecting_streak};
 
     std::atomic<int> own_in_flight_{0};
     std::atomic<int> connections_{0};
@@ -42,6 +49,13 @@
     std::atomic<double> reported_at_ms_{-1.0};
     std::atomic<int> own_in_flight_at_report_{0};
     std::atomic<int> sent_since_report_{0};
+    std::atomic<double> reported_slowdown_{1.0};
+    // Whether the last health check was answered that the target is unwell.
+    std::atomic<bool> says_unhealthy_{false};
+    // How long the target keeps an idle connection; zero if it did not say.
+    std::atomic<double> idle_limit_ms_{0.0};
+    // Whether another target answered at this address.
+    std::atomic<bool> moved_{false};
 
     std::atomic<int> probed_load_{-1};
     std::atomic<double> probed_at_ms_{-1.0};
@@ -95,6 +109,11 @@
                    bool draining,
                    milliseconds now) noexcept;
 
+// Records what a target answered when it was asked for its load.
+void record_asked(target_state& state,
+                  const load_report& report,
+                  milliseconds now) noexcept;
+
 // Records the time that a good answer took and adapts the number of calls that
 // the target gets at once.
 void record_latency(target_state& state,
--- a/modules/av_proxy/worker.cpp
+++ b/modules/av_proxy/worker.cpp
@@ -7,6 +7,8 @@
 #include <av_proxy/caller_connection.hpp>
 #include <av_proxy/outlier_check.hpp>
 #include <av_proxy/proxied_call.hpp>
+#include <av_routing/random_bits.hpp>
+#include <av_routing/split_choice.hpp>
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/post.hpp>
@@ -32,6 +34,21 @@
 
 constexpr std::chrono::milliseconds tick_interval{100};
 constexpr std::chrono::milliseconds poll_interval{2};
+// Answers of targets wake the calls that wait; the timer is for those that
+// don't come.
+constexpr std::chrono::milliseconds question_poll_interval{8};
+// A call waits so long for targets that were asked; most answer within a
+// fraction of it.
+constexpr milliseconds answer_wait(15.0);
+// Pause between questions while no target has room.
+constexpr milliseconds question_pause(30.0);
+// Targets that may be asked for each call, and saved up at most.
+constexpr double questions_per_call = 6.0;
+constexpr double most_questions_saved = 24.0;
+constexpr double questions_per_tick = 2.0;
+// Part of the time that a target keeps idle connections for which they are
+// used.
+constexpr double idle_limit_share = 0.7;
 constexpr int choice_attempts = 3;
 // Part of the idle time limit after which pooled connections are closed.
 constexpr double idle_share_of_pools = 0.5;
@@ -99,6 +116,8 @@
     , reader_(core.table_)
     , random_(seeded_generator())
     , last_seen_(monotonic_now())
+    , split_phase_(unit_interval(random_()))
+    , asker_(*this)
 {
 }
 
@@ -109,6 +128,7 @@
     forward_acceptor_.close(ignored);
     tick_timer_.cancel();
     poll_timer_.cancel();
+    asker_.stop();
     close_all();
     // Lets the cancelled operations drop what they hold of this object.
     context_.restart();
@@ -262,12 +282,7 @@
         1, static_cast<std::size_t>(service.spec_.queue_limit_) / threads);
     if (lane == nullptr)
     {
-        lane = std::make_unique<service_lane>(
-            service_lane{service.state_,
-                         call_queue<std::shared_ptr<proxied_call>>(limit),
-                         {},
-                         {},
-                         {}});
+        lane = std::make_unique<service_lane>(service.state_, limit);
     }
     if (lane->queue_.empty())
     {
@@ -277,10 +292,47 @@
     return *lane;
 }
 
+const std::string& worker::service_of(const rule_spec& rule)
+{
+    if (rule.split_.empty())
+    {
+        return rule.service_;
+    }
+    const auto number = split_calls_[rule.name_]++;
+    const auto part = choose_part(rule.split_, split_phase_, number);
+    return rule.split_[part].service_;
+}
+
+void worker::on_target_answered(const std::string& service)
+{
+    const auto found = lanes_.find(service);
+    if (found == lanes_.end())
+    {
+        return;
+    }
+    auto& lane = *found->second;
+    auto& awaited = lane.awaited_;
+    awaited.erase(std::remove_if(awaited.begin(),
+                                 awaited.end(),
+                                 [this](const target_state* target)
+                                 {
+                                     return !asker_.awaits(target);
+                                 }),
+                  awaited.end());
+    serve_waiting(lane);
+}
+
 void worker::place(proxied_call& call, std::shared_ptr<proxied_call> shared)
 {
     auto& lane = lane_of(call.service());
-    if (!lane.queue_.empty())
+    const auto* policy = call.service().policy_;
+    if (policy != nullptr && policy->ask_ != nullptr)
+    {
+        lane.questions_left_ = std::min(
+            most_questions_saved, lane.questions_left_ + questions_per_call);
+    }
+    const bool asks = policy != nullptr && policy->ask_ != nullptr;
+    if (asks || !lane.queue_.empty())
     {
         enqueue(call, lane, std::move(shared));
         serve_waiting(lane);
@@ -299,6 +351,7 @@
         break;
     }
     enqueue(call, lane, std::move(shared));
+    poll_waiting(poll_interval);
     // A place may have become free on another thread since the choice, which
     // did not see this call wait yet.
     serve_waiting(lane);
@@ -330,11 +383,16 @@
 std::shared_ptr<target_connection> worker::connect(const target_entry& target)
 {
     const auto pool = pool_of(target);
+    const auto idle_limit =
+        milliseconds(target.state_->idle_limit_ms_.load(relaxed)) *
+        idle_limit_share;
     while (!pool->idle_.empty())
     {
         const auto connection = std::move(pool->idle_.back());
         pool->idle_.pop_back();
-        if (connection->is_clean())
+        const bool too_old = idle_limit.count() > 0.0 &&
+                             last_seen_ - connection->parked_at() > idle_limit;
+        if (!too_old && connection->is_clean())
         {
             return connection;
         }
@@ -430,9 +488,7 @@
     }
     for (int attempt = 0; eligible > 0 && attempt < choice_attempts; ++attempt)
     {
-        choice_input input{views_};
-        input.waiting_calls_ = waiting_with(service, call);
-        input.random_ = random_bits();
+        auto input = input_for(service, call);
         input.sequence_ = service.state_->choices_.fetch_add(1, relaxed);
         const auto index = service.policy_->choose_(input);
         if (!index)
@@ -451,6 +507,66 @@
     return choice_end::wait;
 }
 
+choice_input worker::input_for(const service_entry& service,
+                               const proxied_call* call)
+{
+    choice_input input{views_};
+    input.waiting_calls_ = waiting_with(service, call);
+    input.random_ = random_bits();
+    if (service.policy_->ask_ != nullptr)
+    {
+        auto& lane = lane_of(service);
+        input.awaits_answers_ = awaits_answers(lane);
+        input.may_ask_ = !service.spec_.health_path_.empty();
+    }
+    return input;
+}
+
+// Whether answers may still come that a choice should wait for.
+bool worker::awaits_answers(service_lane& lane)
+{
+    if (last_seen_ >= lane.awaited_until_)
+    {
+        lane.awaited_.clear();
+    }
+    return !lane.awaited_.empty();
+}
+
+// Asks targets on behalf of the calls that wait. Returns whether answers are
+// awaited now.
+bool worker::ask_targets(const service_entry& service,
+                         service_lane& lane,
+                         const proxied_call& call)
+{
+    if (service.policy_->ask_ == nullptr || service.spec_.health_path_.empty())
+    {
+        return false;
+    }
+    if (awaits_answers(lane))
+    {
+        return true;
+    }
+    if (last_seen_ < lane.next_question_ || lane.questions_left_ < 1.0)
+    {
+        return false;
+    }
+    const auto indexes = service.policy_->ask_(input_for(service, &call));
+    lane.awaited_until_ = last_seen_ + answer_wait;
+    lane.next_question_ = last_seen_;
+    for (const auto index : indexes)
+    {
+        const auto& target = service.targets_[index];
+        lane.questions_left_ -= 1.0;
+        lane.awaited_.push_back(target.state_.get());
+        asker_.ask(service, target);
+    }
+    if (indexes.empty())
+    {
+        lane.next_question_ = last_seen_ + question_pause;
+    }
+    return !lane.awaited_.empty();
+}
+
 int worker::fill_views(const service_entry& service,
                        const proxied_call* call,
                        bool& awaits)
@@ -522,8 +638,10 @@
         call.refuse(error_kind::deadline_unreachable);
         return;
     }
-    call.set_ticket(
-        lane.queue_.push(std::move(shared), call.priority(), call.deadline()));
+    call.set_ticket(lane.queue_.push(
+        std::move(shared),
+        call.priority(),
+        call.begin_wait(lane.latency_.value_)));
     lane.state_->waiting_[index_].fetch_add(1);
     lane.state_->waiting_total_.fetch_add(1);
     while (lane.queue_.is_over_limit())
@@ -533,7 +651,6 @@
         (*displaced)->set_ticket(std::nullopt);
         (*displaced)->refuse(error_kind::queue_full);
     }
-    poll_waiting();
 }
 
 // Whether the call would be answered too late if it waited.
@@ -549,7 +666,7 @@
 // Refuses the calls that would be answered too late if they went now.
 void worker::refuse_late(service_lane& lane)
 {
-    const auto late = lane.queue_.take_expired(now() + lane.latency_.value_);
+    const auto late = lane.queue_.take_expired(now());
     for (const auto& call : late)
     {
         left_queue(lane);
@@ -569,12 +686,15 @@
         // Keeps the chosen entry while calls are told.
         const auto keep = table();
         const auto* service = keep->find_service(lane.state_->name_);
+        const auto head = *lane.queue_.peek();
         const target_entry* chosen = nullptr;
-        const auto end = service == nullptr ? choice_end::none
-                                            : choose(*service, nullptr, chosen);
+        const auto end = service == nullptr
+                             ? choice_end::none
+                             : choose(*service, head.get(), chosen);
         if (end == choice_end::wait)
         {
-            poll_waiting();
+            const bool asked = ask_targets(*service, lane, *head);
+            poll_waiting(asked ? question_poll_interval : poll_interval);
             return;
         }
         const auto call = pop(lane);
@@ -624,13 +744,13 @@
 
 // Estimates fade and refreshes arrive without an event of a call, so that
 // waiting calls are looked at again and again.
-void worker::poll_waiting()
+void worker::poll_waiting(std::chrono::milliseconds interval)
 {
     if (std::exchange(poll_waits_, true))
     {
         return;
     }
-    poll_timer_.expires_after(poll_interval);
+    poll_timer_.expires_after(interval);
     poll_timer_.async_wait(
         [this](const error_code& error)
         {
@@ -646,9 +766,20 @@
         });
 }
 
+// Lets targets be asked for calls that wait for long.
+void worker::earn_questions()
+{
+    for (const auto& lane : lanes_)
+    {
+        auto& left = lane.second->questions_left_;
+        left = std::min(most_questions_saved, left + questions_per_tick);
+    }
+}
+
 void worker::tick()
 {
-    now();
+    earn_questions();
+    asker_.drop_late(now());
     drop_withdrawn_pools();
     check_stragglers();
     drop_idle_connections();
@@ -683,12 +814,20 @@
     for (const auto& entry : pools_)
     {
         auto& idle = entry.second->idle_;
+        const double target_limit =
+            entry.second->state_->idle_limit_ms_.load(relaxed);
+        const auto oldest =
+            target_limit > 0.0
+                ? std::max(limit,
+                           last_seen_ -
+                               milliseconds(target_limit) * idle_limit_share)
+                : limit;
         const auto kept = std::find_if(
             idle.begin(),
             idle.end(),
-            [limit](const std::shared_ptr<target_connection>& connection)
+            [oldest](const std::shared_ptr<target_connection>& connection)
             {
-                return connection->parked_at() > limit;
+                return connection->parked_at() > oldest;
             });
         for (auto it = idle.begin(); it != kept; ++it)
         {
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -10,6 +10,7 @@
 #include <av_limits/retry_budget.hpp>
 #include <av_proxy/path_core.hpp>
 #include <av_proxy/routing_table.hpp>
+#include <av_proxy/target_asker.hpp>
 #include <av_proxy/target_connection.hpp>
 
 #include <absl/container/flat_hash_map.h>
@@ -21,9 +22,11 @@
 #include <boost/random/mersenne_twister.hpp>
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace anvilturn
@@ -37,12 +40,25 @@
 // One thread's calls of one service.
 struct service_lane
 {
+    service_lane(std::shared_ptr<service_state> state, std::size_t limit)
+        : state_(std::move(state))
+        , queue_(limit)
+    {
+    }
+
     std::shared_ptr<service_state> state_;
     call_queue<std::shared_ptr<proxied_call>> queue_;
     retry_budget budget_;
     // How fast calls leave the queue, and how long they take at a target.
     drain_rate rate_;
     latency_quantile latency_;
+    // Targets whose answer the calls that wait are held for, and until when.
+    std::vector<const target_state*> awaited_;
+    milliseconds awaited_until_;
+    // Targets are not asked again before this point.
+    milliseconds next_question_;
+    // Targets that may still be asked; it grows with each call.
+    double questions_left_ = 0.0;
 };
 
 // One thread of the request path with its connections and queues. All members
@@ -87,6 +103,9 @@
 
     service_lane& lane_of(const service_entry& service);
 
+    // Returns the service that takes the next call of the rule.
+    const std::string& service_of(const rule_spec& rule);
+
     // Sends the call to a target that has room, or lets it wait, or refuses
     // it.
     void place(proxied_call& call, std::shared_ptr<proxied_call> shared);
@@ -98,6 +117,9 @@
     // then those of others.
     void on_slot_freed(const std::shared_ptr<service_state>& service);
 
+    // A target of the service answered a question for its load, or did not.
+    void on_target_answered(const std::string& service);
+
     // Returns a connection to the target. There is always one after a choice.
     std::shared_ptr<target_connection> connect(const target_entry& target);
 
@@ -127,13 +149,20 @@
     void enqueue(proxied_call& call,
                  service_lane& lane,
                  std::shared_ptr<proxied_call> shared);
+    bool ask_targets(const service_entry& service,
+                     service_lane& lane,
+                     const proxied_call& call);
+    bool awaits_answers(service_lane& lane);
+    choice_input input_for(const service_entry& service,
+                           const proxied_call* call);
     bool is_hopeless(const proxied_call& call, const service_lane& lane);
     void serve_waiting(service_lane& lane);
     std::shared_ptr<proxied_call> pop(service_lane& lane);
     void refuse_late(service_lane& lane);
     void left_queue(service_lane& lane);
     void wake_other(const std::shared_ptr<service_state>& service);
-    void poll_waiting();
+    void poll_waiting(std::chrono::milliseconds interval);
+    void earn_questions();
     void tick();
     void drop_withdrawn_pools();
     void refuse_waiting();
@@ -161,6 +190,10 @@
     absl::flat_hash_map<std::string, std::unique_ptr<service_lane>> lanes_;
     absl::flat_hash_map<const target_state*, std::shared_ptr<target_pool>>
         pools_;
+    // Calls of each rule that is split, and where this VM begins.
+    absl::flat_hash_map<std::string, std::uint64_t> split_calls_;
+    double split_phase_;
+    target_asker asker_;
     bool finished_ = false;
     unsigned ticks_ = 0;
 };
--- /dev/null
+++ b/modules/av_registry/target_registry.cpp
@@ -0,0 +1,138 @@
+#include <av_registry/target_registry.hpp>
+
+#include <iterator>
+#include <set>
+
+namespace anvilturn
+{
+namespace
+{
+
+using entry_position = std::map<std::string, registered_target>::iterator;
+
+// Removes the entry, or lets it lapse while a return of it is to be expected.
+// Returns the position after it.
+entry_position
+remove(target_registry& registry, entry_position entry, milliseconds now)
+{
+    const bool may_return = registry.recovered_at_ &&
+                            now < *registry.recovered_at_ + lapse_grace;
+    if (!may_return)
+    {
+        return registry.entries_.erase(entry);
+    }
+    if (!entry->second.drop_at_)
+    {
+        entry->second.drop_at_ = *registry.recovered_at_ + lapse_grace;
+    }
+    return ++entry;
+}
+
+void take_object(target_registry& registry, const listed_target& object)
+{
+    const auto known = registry.entries_.find(object.name_);
+    if (!object.value_)
+    {
+        if (known != registry.entries_.end())
+        {
+            registry.entries_.erase(known);
+        }
+        return;
+    }
+    if (known == registry.entries_.end())
+    {
+        registry.entries_[object.name_] = {
+            *object.value_, object.revision_, std::nullopt};
+        return;
+    }
+    const bool of_earlier_start =
+        object.value_->incarnation_ < known->second.spec_.incarnation_;
+    if (of_earlier_start || object.revision_ < known->second.revision_)
+    {
+        return;
+    }
+    known->second = {*object.value_, object.revision_, std::nullopt};
+}
+
+} // namespace
+
+void note_recovery(target_registry& registry, milliseconds now)
+{
+    registry.recovered_at_ = now;
+}
+
+void take_listing(target_registry& registry,
+                  const std::vector<listed_target>& objects,
+                  milliseconds now)
+{
+    std::set<std::string> listed;
+    for (const auto& object : objects)
+    {
+        listed.insert(object.name_);
+        take_object(registry, object);
+    }
+    for (auto entry = registry.entries_.begin();
+         entry != registry.entries_.end();)
+    {
+        entry = listed.count(entry->first) != 0 ? std::next(entry)
+                                                : remove(registry, entry, now);
+    }
+}
+
+void take_changes(target_registry& registry,
+                  const std::vector<target_change>& changes,
+                  milliseconds now)
+{
+    for (const auto& change : changes)
+    {
+        if (!change.removed_)
+        {
+            take_object(registry, change.object_);
+            continue;
+        }
+        const auto known = registry.entries_.find(change.object_.name_);
+        if (known != registry.entries_.end() &&
+            change.object_.revision_ >= known->second.revision_)
+        {
+            remove(registry, known, now);
+        }
+    }
+}
+
+void drop_lapsed(target_registry& registry, milliseconds now)
+{
+    for (auto entry = registry.entries_.begin();
+         entry != registry.entries_.end();)
+    {
+        const auto& drop_at = entry->second.drop_at_;
+        entry = drop_at && *drop_at <= now ? registry.entries_.erase(entry)
+                                           : std::next(entry);
+    }
+}
+
+std::optional<milliseconds> next_drop(const target_registry& registry)
+{
+    std::optional<milliseconds> first;
+    for (const auto& entry : registry.entries_)
+    {
+        const auto& drop_at = entry.second.drop_at_;
+        if (drop_at && (!first || *drop_at < *first))
+        {
+            first = drop_at;
+        }
+    }
+    return first;
+}
+
+std::map<std::string, target_spec>
+registered_targets(const target_registry& registry)
+{
+    std::map<std::string, target_spec> result;
+    for (const auto& entry : registry.entries_)
+    {
+        result.emplace(entry.first, entry.second.spec_);
+    }
+    return result;
+}
+
+} // namespace anvilturn
--- /dev/null
+++ b/modules/av_registry/target_registry.hpp
@@ -0,0 +1,67 @@
+#ifndef AV_REGISTRY_TARGET_REGISTRY_HPP
+#define AV_REGISTRY_TARGET_REGISTRY_HPP
+
+#include <av_core/milliseconds.hpp>
+#include <av_model/target_spec.hpp>
+#include <av_registry/listed_object.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace anvilturn
+{
+
+using listed_target = listed_object<target_spec>;
+using target_change = object_change<target_spec>;
+
+// One entry that targets registered.
+struct registered_target
+{
+    target_spec spec_;
+    store_revision revision_ = 0;
+    // When it is dropped unless it comes back; nothing while it is listed.
+    std::optional<milliseconds> drop_at_;
+};
+
+// The targets that are registered, as one VM knows them. Points in time are of
+// the monotonic clock.
+struct target_registry
+{
+    std::map<std::string, registered_target> entries_;
+    // When the store was last found to answer again after an outage.
+    std::optional<milliseconds> recovered_at_;
+};
+
+// Entries lapse while the store is away and are back within this time of its
+// return, if their targets live. What is missing longer is gone.
+constexpr milliseconds lapse_grace{2100.0};
+
+// Records that the store answers again after an outage.
+void note_recovery(target_registry& registry, milliseconds now);
+
+// Takes the whole collection.
+void take_listing(target_registry& registry,
+                  const std::vector<listed_target>& objects,
+                  milliseconds now);
+
+// Takes changes in their order. A change that is older than what is known of
+// the entry is passed over, as is an entry of an earlier start of the target.
+void take_changes(target_registry& registry,
+                  const std::vector<target_change>& changes,
+                  milliseconds now);
+
+// Drops the entries that did not come back in time.
+void drop_lapsed(target_registry& registry, milliseconds now);
+
+// Returns when the next entry is to be dropped, if one is.
+std::optional<milliseconds> next_drop(const target_registry& registry);
+
+// Returns the targets by name; some of them are draining.
+std::map<std::string, target_spec>
+registered_targets(const target_registry& registry);
+
+} // namespace anvilturn
+
+#endif
--- a/modules/av_routing/choice_policy.hpp
+++ b/modules/av_routing/choice_policy.hpp
@@ -24,6 +24,12 @@
     std::uint64_t sequence_ = 0;
     // Calls of the service that wait at this VM, the one to be sent included.
     std::size_t waiting_calls_ = 1;
+    // Whether answers of targets that were asked for this choice may still
+    // come.
+    bool awaits_answers_ = false;
+    // Whether targets may be asked now; without it the choice is made by what
+    // is known, however old.
+    bool may_ask_ = false;
 };
 
 // A way to choose a target, as a plug-in that registers itself.
@@ -40,6 +46,10 @@
     bool uses_home_ = false;
     // Whether the policy reads probe results, so that probes are sent.
     bool uses_probes_ = false;
+    // Returns the targets that are to be asked for their load before the
+    // choice, the most promising first; null for policies that choose by what
+    // is known already.
+    std::vector<std::size_t> (*ask_)(const choice_input& input) = nullptr;
 };
 
 using choice_policy_registry = plugin_registry<choice_policy>;
--- a/modules/av_routing/outlier.cpp
+++ b/modules/av_routing/outlier.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 
-constexpr int ejecting_streak = 3;
 constexpr double ejecting_error_share = 0.3;
 constexpr double error_share_weight = 0.05;
 constexpr milliseconds first_ejection(1000.0);
@@ -42,8 +41,10 @@
 
 } // namespace
 
-outlier_state
-after_result(outlier_state state, bool failed, milliseconds now) noexcept
+outlier_state after_result(outlier_state state,
+                           bool failed,
+                           milliseconds now,
+                           int ejecting_streak) noexcept
 {
     state.error_share_ +=
         error_share_weight * ((failed ? 1.0 : 0.0) - state.error_share_);
--- a/modules/av_routing/target_view.hpp
+++ b/modules/av_routing/target_view.hpp
@@ -23,6 +23,10 @@
     // Busy slots plus queued calls by the newest report; negative if none.
     int reported_load_ = -1;
     milliseconds report_age_{0.0};
+    // How many times longer than usual work took there by that report.
+    double reported_slowdown_ = 1.0;
+    // Whether the target's last health check failed.
+    bool says_unhealthy_ = false;
     // Calls of this VM that were at the target when that report was written.
     int own_in_flight_at_report_ = 0;
     // Calls that this VM sent since that report was written.
--- a/modules/av_settings/settings.hpp
+++ b/modules/av_settings/settings.hpp
@@ -35,6 +35,11 @@
         return request_path_;
     }
 
+    const service_section& services() const noexcept
+    {
+        return services_;
+    }
+
     const shutdown_settings& shutdown() const noexcept
     {
         return shutdown_;
@@ -51,11 +56,13 @@
                         a.listen_,
                         a.platform_,
                         a.request_path_,
+                        a.services_,
                         a.shutdown_,
                         a.logs_) == std::tie(b.vm_,
                                              b.listen_,
                                              b.platform_,
                                              b.request_path_,
+                                             b.services_,
                                              b.shutdown_,
                                              b.logs_);
     }
@@ -74,6 +81,7 @@
     listen_settings listen_;
     platform_settings platform_;
     request_section request_path_;
+    service_section services_;
     shutdown_settings shutdown_;
     log_settings logs_;
 };
--- a/modules/av_settings/settings_builder.cpp
+++ b/modules/av_settings/settings_builder.cpp
@@ -15,17 +15,41 @@
     std::set<std::string> seen;
     const listen_settings& listen = value.listen();
     for (const std::string& address :
-         {listen.callers_, listen.forward_, listen.peers_, listen.operators_})
+         {listen.callers_,
+          listen.forward_,
+          listen.peers_,
+          listen.operators_,
+          listen.readiness_})
     {
-        if (!seen.insert(address).second)
+        if (!address.empty() && !seen.insert(address).second)
         {
-            return place.refuse(address + " stands here twice; allowed: four "
+            return place.refuse(address + " stands here twice; allowed: "
                                           "different addresses");
         }
     }
     return absl::OkStatus();
 }
 
+absl::Status check_peers(const settings& value, const yaml_place& place)
+{
+    if (value.platform().adapter_ != native_adapter)
+    {
+        return absl::OkStatus();
+    }
+    const listen_settings& listen = value.listen();
+    if (listen.forward_.empty())
+    {
+        return place.below("forward", place.line_)
+            .refuse("missing; VMs need it unless platform.adapter is set");
+    }
+    if (listen.peers_.empty())
+    {
+        return place.below("peers", place.line_)
+            .refuse("missing; VMs need it unless platform.adapter is set");
+    }
+    return absl::OkStatus();
+}
+
 absl::Status check_shutdown(const settings& value, const yaml_place& place)
 {
     const shutdown_settings& shutdown = value.shutdown();
@@ -63,6 +87,12 @@
     return *this;
 }
 
+settings_builder& settings_builder::services(const service_section& section)
+{
+    settings_.services_ = section;
+    return *this;
+}
+
 settings_builder& settings_builder::shutdown(const shutdown_settings& section)
 {
     settings_.shutdown_ = section;
@@ -91,10 +121,13 @@
           check_fields(request_section_fields(),
                        made.request_path(),
                        place("request_path")),
+          check_fields(
+              service_section_fields(), made.services(), place("services")),
           check_fields(
               shutdown_settings_fields(), made.shutdown(), place("shutdown")),
           check_fields(log_settings_fields(), made.logs(), place("logs")),
           check_addresses(made, place("listen")),
+          check_peers(made, place("listen")),
           check_shutdown(made, place("shutdown"))})
     {
         if (!status.ok())
--- a/modules/av_settings/settings_builder.hpp
+++ b/modules/av_settings/settings_builder.hpp
@@ -18,6 +18,7 @@
     settings_builder& listen(const listen_settings& section);
     settings_builder& platform(const platform_settings& section);
     settings_builder& request_path(const request_section& section);
+    settings_builder& services(const service_section& section);
     settings_builder& shutdown(const shutdown_settings& section);
     settings_builder& logs(const log_settings& section);
 
--- a/modules/av_settings/settings_fields.cpp
+++ b/modules/av_settings/settings_fields.cpp
@@ -68,6 +68,14 @@
     return field;
 }
 
+bool is_plain_path(const std::string& text)
+{
+    constexpr std::size_t longest_path = 128;
+    return !text.empty() && text.front() == '/' &&
+           is_printable(text, longest_path) &&
+           text.find(' ') == std::string::npos;
+}
+
 bool are_addresses(const std::vector<std::string>& addresses)
 {
     return addresses.size() <= seed_peer_limit &&
@@ -123,14 +131,27 @@
         required(address_field("callers",
                                &section::callers_,
                                "for callers, through the balancer")),
-        required(address_field("forward",
+        optional_address_field("forward",
                                &section::forward_,
-                               "for calls that other VMs hand over")),
-        required(address_field(
-            "peers", &section::peers_, "for control messages of other VMs")),
+                               "for calls that other VMs hand over; required "
+                               "unless platform.adapter is set"),
+        optional_address_field("peers",
+                               &section::peers_,
+                               "for control messages of other VMs; required "
+                               "unless platform.adapter is set"),
         required(address_field("operators",
                                &section::operators_,
-                               "for anvilturnctl and metrics"))};
+                               "for anvilturnctl and metrics")),
+        optional_address_field(
+            "readiness",
+            &section::readiness_,
+            "for the balancer's readiness check, besides /.anvilturn/ready on "
+            "the callers' address"),
+        text_field("readiness_path",
+                   &section::readiness_path_,
+                   "path that starts with /",
+                   is_plain_path,
+                   "path of that check")};
     return fields;
 }
 
@@ -142,7 +163,37 @@
             "address", &section::address_, "the platform's object API")),
         timeout_field("call_timeout_ms",
                       &section::call_timeout_,
-                      "time limit of one call to the platform")};
+                      "time limit of one call to the platform"),
+        name_field("adapter",
+                   &section::adapter_,
+                   "how the platform is spoken to; native is the project's own "
+                   "interface")};
+    return fields;
+}
+
+const yaml_fields<service_section>& service_section_fields()
+{
+    using section = service_section;
+    static const yaml_fields<section> fields = {
+        name_field("choice_policy",
+                   &section::choice_policy_,
+                   "plug-in that chooses targets, for services that come "
+                   "through an adapter"),
+        number_field("retry_ratio",
+                     &section::retry_ratio_,
+                     0.0,
+                     1.0,
+                     "extra attempts allowed, as a share of first ones"),
+        integer_field("queue_limit",
+                      &section::queue_limit_,
+                      0,
+                      100'000,
+                      "calls that may wait at one VM; refused beyond"),
+        integer_field("ejecting_failures",
+                      &section::ejecting_failures_,
+                      1,
+                      100,
+                      "failures in a row after which a target is ejected")};
     return fields;
 }
 
--- a/modules/av_settings/settings_reader.cpp
+++ b/modules/av_settings/settings_reader.cpp
@@ -14,8 +14,13 @@
 {
 
 constexpr yaml_limits settings_limits{65'536, 4, 1000};
-constexpr std::array<std::string_view, 6> section_names = {
-    "vm", "listen", "platform", "request_path", "shutdown", "logs"};
+constexpr std::array<std::string_view, 7> section_names = {"vm",
+                                                           "listen",
+                                                           "platform",
+                                                           "request_path",
+                                                           "services",
+                                                           "shutdown",
+                                                           "logs"};
 constexpr std::array<std::string_view, 3> required_sections = {
     "vm", "listen", "platform"};
 
@@ -46,7 +51,7 @@
         {
             return place.below(member.key_, member.line_)
                 .refuse("unknown section; allowed: vm, listen, platform, "
-                        "request_path, shutdown, logs");
+                        "request_path, services, shutdown, logs");
         }
     }
     for (const std::string_view name : required_sections)
@@ -89,6 +94,7 @@
     listen_settings listen;
     platform_settings platform;
     request_section request_path;
+    service_section services;
     shutdown_settings shutdown;
     log_settings logs;
     for (const absl::Status& status :
@@ -101,6 +107,8 @@
                        "request_path",
                        request_section_fields(),
                        request_path),
+          read_section(
+              root, place, "services", service_section_fields(), services),
           read_section(
               root, place, "shutdown", shutdown_settings_fields(), shutdown),
           read_section(root, place, "logs", log_settings_fields(), logs)})
@@ -115,6 +123,7 @@
         .listen(listen)
         .platform(platform)
         .request_path(request_path)
+        .services(services)
         .shutdown(shutdown)
         .logs(logs)
         .build(place);
--- a/modules/av_settings/settings_reference.cpp
+++ b/modules/av_settings/settings_reference.cpp
@@ -34,6 +34,7 @@
            rows("listen", listen_settings_fields()) +
            rows("platform", platform_settings_fields()) +
            rows("request_path", request_section_fields()) +
+           rows("services", service_section_fields()) +
            rows("shutdown", shutdown_settings_fields()) +
            rows("logs", log_settings_fields());
 }
--- a/modules/av_settings/settings_sections.hpp
+++ b/modules/av_settings/settings_sections.hpp
@@ -35,34 +35,68 @@
     }
 };
 
-// Where this VM listens: four different IP numbers and ports.
+// Where this VM listens: different IP numbers and ports.
 struct listen_settings
 {
     std::string callers_;
-    // Calls that other VMs hand to this one.
+    // Calls that other VMs hand to this one; not with a platform's adapter.
     std::string forward_;
-    // Control messages between VMs.
+    // Control messages between VMs; not with a platform's adapter.
     std::string peers_;
     // Never the callers' address.
     std::string operators_;
+    // The balancer's readiness check, if it does not come to the callers'
+    // address.
+    std::string readiness_;
+    std::string readiness_path_ = "/ready";
 
     // Returns all members, for comparison.
     auto tie() const
     {
-        return std::tie(callers_, forward_, peers_, operators_);
+        return std::tie(callers_,
+                        forward_,
+                        peers_,
+                        operators_,
+                        readiness_,
+                        readiness_path_);
     }
 };
 
+// The adapter of a VM that knows its peers and releases by itself.
+constexpr const char* native_adapter = "native";
+
 // How the platform is reached.
 struct platform_settings
 {
     std::string address_;
     milliseconds call_timeout_{2000.0};
+    // How the platform is spoken to.
+    std::string adapter_ = native_adapter;
+
+    // Returns all members, for comparison.
+    auto tie() const
+    {
+        return std::tie(address_, call_timeout_, adapter_);
+    }
+};
+
+// What holds for each service whose configuration comes through an adapter and
+// says nothing of it.
+struct service_section
+{
+    std::string choice_policy_ = "ask_first";
+    // Extra attempts, as a share of first ones.
+    double retry_ratio_ = 0.1;
+    // Calls that may wait at one VM.
+    int queue_limit_ = 512;
+    // Failures in a row after which a target is ejected.
+    int ejecting_failures_ = 3;
 
     // Returns all members, for comparison.
     auto tie() const
     {
-        return std::tie(address_, call_timeout_);
+        return std::tie(
+            choice_policy_, retry_ratio_, queue_limit_, ejecting_failures_);
     }
 };
 
--- a/modules/av_yaml/yaml_fields.hpp
+++ b/modules/av_yaml/yaml_fields.hpp
@@ -222,6 +222,23 @@
     return text_field(key, member, address_allowed, is_address, meaning);
 }
 
+// An IP number and port, or nothing.
+template <typename Struct>
+yaml_field<Struct> optional_address_field(std::string_view key,
+                                          std::string Struct::*member,
+                                          std::string_view meaning)
+{
+    return text_field(
+        key,
+        member,
+        address_allowed,
+        [](const std::string& text)
+        {
+            return text.empty() || is_address(text);
+        },
+        meaning);
+}
+
 } // namespace anvilturn
 
 #endif
