Send calls only to targets that are not slowed; learn how many they take

Change: ask_first takes a target of the own domain that serves the call within its objective, another domain's after a quarter of the call's patience, any with a free slot before the call is refused; load_profile learns the number of calls at which a target completes the most; a failed watch is listed anew.

--- a/modules/av_feed/collection_feed.hpp
+++ b/modules/av_feed/collection_feed.hpp
@@ -107,7 +107,6 @@
     {
         if (!page.ok())
         {
-            listed_ = false;
             fail(page.status());
             return;
         }
@@ -216,8 +215,12 @@
         observer_.on_recovery_();
     }
 
+    // After a failure the collection is listed anew: a watch from an earlier
+    // revision can be accepted and yet miss changes that the store has dropped
+    // from its history.
     void fail(const absl::Status& status)
     {
+        listed_ = false;
         if (failures_++ == 0)
         {
             log_event(log_level::warning, "store_lost")
@@ -250,11 +253,9 @@
         if (listed_)
         {
             watch();
+            return;
         }
-        else
-        {
-            list({});
-        }
+        list({});
     }
 
     const std::string name_;
--- a/modules/av_limits/av_limits.hpp
+++ b/modules/av_limits/av_limits.hpp
@@ -13,6 +13,7 @@
 #include <av_limits/concurrency_limit.hpp>
 #include <av_limits/hedging.hpp>
 #include <av_limits/latency_quantile.hpp>
+#include <av_limits/load_profile.hpp>
 #include <av_limits/patience.hpp>
 #include <av_limits/retry_budget.hpp>
 #include <av_limits/retry_decision.hpp>
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -181,7 +181,7 @@
     {
         return std::min(deadline_, connect_due_);
     }
-    return ticket_ ? std::min(deadline_, give_up_at_) : deadline_;
+    return deadline_;
 }
 
 void proxied_call::on_due()
@@ -265,11 +265,26 @@
     facts.deadline_ = deadline_;
     facts.objective_ = objective_;
     facts.usual_time_ = usual_time;
+    wait_began_at_ = worker_.now();
     give_up_at_ = give_up_point(facts);
     link_.update_timer();
     return give_up_at_;
 }
 
+milliseconds proxied_call::objective_left(milliseconds now) const
+{
+    const bool has_objective = objective_.count() > 0.0;
+    return (has_objective ? started_at_ + objective_ : deadline_) - now;
+}
+
+double proxied_call::patience_spent(milliseconds now) const
+{
+    const auto whole = give_up_at_ - wait_began_at_;
+    return whole.count() <= 0.0
+               ? 1.0
+               : std::clamp((now - wait_began_at_) / whole, 0.0, 1.0);
+}
+
 const std::optional<queue_ticket>& proxied_call::ticket() const
 {
     return ticket_;
@@ -586,6 +601,9 @@
             lane_->budget_, service_->spec_.retry_ratio_, head_->depth_);
     }
     attempt_started_at_ = worker_.now();
+    load_at_start_ = target_->reported_load_.load(relaxed) +
+                     target_->sent_since_report_.load(relaxed);
+    slowdown_at_start_ = target_->reported_slowdown_.load(relaxed);
     connecting_ = true;
     connect_due_ =
         attempt_started_at_ + worker_.core().settings_.connect_timeout_;
@@ -783,6 +801,8 @@
     {
         record_latency(*target_, time, target_slots_);
         lane_->latency_ = after_sample(lane_->latency_, time);
+        lane_->profile_ = after_call(
+            lane_->profile_, load_at_start_, slowdown_at_start_, time);
     }
     auto* const recorder = worker_.core().recorder_;
     if (recorder != nullptr)
@@ -965,18 +985,26 @@
     }
 }
 
-// Follows the call by its id through the logs of all VMs, at debug level.
+// Says where the call goes and what was known of the target.
 void proxied_call::trace_attempt() const
 {
-    if (!is_logged(log_level::debug))
+    if (!is_logged(log_level::info))
     {
         return;
     }
-    log_event(log_level::debug, "call_sent")
+    const auto now = worker_.now();
+    const auto reported_at =
+        milliseconds(target_->reported_at_ms_.load(relaxed));
+    log_event(log_level::info, "call_sent")
         .field("call", call_id_)
+        .field("service", lane_->state_->name_)
         .field(to_vm_ ? "home_vm" : "target", target_->name_)
         .field("attempt", attempts_)
         .field("waited_ms", (attempt_started_at_ - started_at_).count())
+        .field("reported_load", target_->reported_load_.load(relaxed))
+        .field("slowdown", target_->reported_slowdown_.load(relaxed))
+        .field("report_age_ms", (now - reported_at).count())
+        .field("version", table_->version_)
         .write();
 }
 
@@ -999,11 +1027,11 @@
 void proxied_call::trace_end(std::string_view outcome,
                              std::string_view reason) const
 {
-    if (!is_logged(log_level::debug))
+    if (!is_logged(log_level::info))
     {
         return;
     }
-    log_event(log_level::debug, "call_ended")
+    log_event(log_level::info, "call_ended")
         .field("call", call_id_)
         .field("outcome", outcome)
         .field("reason", reason)
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -70,6 +70,11 @@
     // Begins to wait for a target. Returns the point at which the call gives
     // up; the time is what calls of the service usually take.
     milliseconds begin_wait(milliseconds usual_time);
+    // Time until the call misses its latency objective, or its deadline if it
+    // has none.
+    milliseconds objective_left(milliseconds now) const;
+    // Part of the time that the call may wait that is over, 0 to 1.
+    double patience_spent(milliseconds now) const;
     const std::optional<queue_ticket>& ticket() const;
     void set_ticket(std::optional<queue_ticket> value);
 
@@ -135,6 +140,7 @@
     milliseconds started_at_;
     milliseconds deadline_;
     // Until when the call waits for a target.
+    milliseconds wait_began_at_;
     milliseconds give_up_at_;
     milliseconds objective_;
     bool idempotent_ = false;
@@ -166,6 +172,9 @@
     // Why the attempt before this one ended.
     std::optional<error_kind> last_failure_;
     milliseconds attempt_started_at_;
+    // What was known of the target then.
+    int load_at_start_ = 0;
+    double slowdown_at_start_ = 1.0;
     int attempts_ = 0;
     // Attempts that may have run.
     int runs_ = 0;
--- a/modules/av_proxy/worker.cpp
+++ b/modules/av_proxy/worker.cpp
@@ -43,9 +43,9 @@
 // Pause between questions while no target has room.
 constexpr milliseconds question_pause(30.0);
 // Targets that may be asked for each call, and saved up at most.
-constexpr double questions_per_call = 6.0;
+constexpr double questions_per_call = 3.5;
 constexpr double most_questions_saved = 24.0;
-constexpr double questions_per_tick = 2.0;
+constexpr double questions_per_tick = 0.3;
 // Part of the time that a target keeps idle connections for which they are
 // used.
 constexpr double idle_limit_share = 0.7;
@@ -516,6 +516,12 @@
     if (service.policy_->ask_ != nullptr)
     {
         auto& lane = lane_of(service);
+        input.usual_time_ = usual_time(lane.profile_);
+        if (call != nullptr)
+        {
+            input.objective_left_ = call->objective_left(last_seen_);
+            input.patience_spent_ = call->patience_spent(last_seen_);
+        }
         input.awaits_answers_ = awaits_answers(lane);
         input.may_ask_ = !service.spec_.health_path_.empty();
     }
@@ -577,8 +583,13 @@
     moment.refreshed_at_ = milliseconds(core_.refreshed_at_ms_.load());
     moment.isolated_ = core_.isolated_.load(relaxed);
     views_.clear();
+    const bool asks =
+        service.policy_ != nullptr && service.policy_->ask_ != nullptr;
+    const auto* const profile = asks ? &lane_of(service).profile_ : nullptr;
     for (const auto& target : service.targets_)
     {
+        const int best = asks ? best_concurrency(*profile, target.spec_.slots_)
+                              : target.spec_.slots_;
         auto view = view_of(target.spec_, *target.state_, moment.now_);
         const auto status = eligibility(target.spec_, *target.state_, moment);
         awaits = awaits || status == target_eligibility::awaits_refresh;
@@ -587,6 +598,7 @@
             (call == nullptr || !call->is_excluded(target.state_.get()));
         view.same_domain_ = target.same_domain_;
         view.own_limit_ = limit_for(service, target);
+        view.best_concurrency_ = best;
         views_.push_back(view);
     }
     exclude_outliers(views_, service.targets_, moment.now_);
@@ -641,7 +653,7 @@
     call.set_ticket(lane.queue_.push(
         std::move(shared),
         call.priority(),
-        call.begin_wait(lane.latency_.value_)));
+        call.begin_wait(usual_time_of(call.service(), lane))));
     lane.state_->waiting_[index_].fetch_add(1);
     lane.state_->waiting_total_.fetch_add(1);
     while (lane.queue_.is_over_limit())
@@ -653,13 +665,22 @@
     }
 }
 
+// Returns the time at a target that a waiting call is to allow for.
+milliseconds worker::usual_time_of(const service_entry& service,
+                                   const service_lane& lane) const
+{
+    const bool asks =
+        service.policy_ != nullptr && service.policy_->ask_ != nullptr;
+    return asks ? usual_time(lane.profile_) : lane.latency_.value_;
+}
+
 // Whether the call would be answered too late if it waited.
 bool worker::is_hopeless(const proxied_call& call, const service_lane& lane)
 {
     admission_question question;
     question.calls_ahead_ = lane.queue_.size_ahead_of(call.priority());
     question.time_left_ = call.deadline() - last_seen_;
-    question.p95_latency_ = lane.latency_.value_;
+    question.p95_latency_ = usual_time_of(call.service(), lane);
     return !can_meet_deadline(lane.rate_, question);
 }
 
@@ -674,8 +695,30 @@
     }
     for (const auto& call : late)
     {
-        call->refuse(error_kind::deadline_unreachable);
+        if (!place_late(*call))
+        {
+            call->refuse(error_kind::deadline_unreachable);
+        }
+    }
+}
+
+// Sends a call that has no patience left to any target that has room for it.
+// Returns whether there is one.
+bool worker::place_late(proxied_call& call)
+{
+    if (!call.refresh_service() || call.service().policy_ == nullptr ||
+        call.service().policy_->ask_ == nullptr ||
+        last_seen_ >= call.deadline())
+    {
+        return false;
+    }
+    const target_entry* chosen = nullptr;
+    if (choose(call.service(), &call, chosen) != choice_end::chosen)
+    {
+        return false;
     }
+    call.dispatch_to(*chosen);
+    return true;
 }
 
 void worker::serve_waiting(service_lane& lane)
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -7,6 +7,7 @@
 #include <av_limits/admission.hpp>
 #include <av_limits/call_queue.hpp>
 #include <av_limits/latency_quantile.hpp>
+#include <av_limits/load_profile.hpp>
 #include <av_limits/retry_budget.hpp>
 #include <av_proxy/path_core.hpp>
 #include <av_proxy/routing_table.hpp>
@@ -52,6 +53,7 @@
     // How fast calls leave the queue, and how long they take at a target.
     drain_rate rate_;
     latency_quantile latency_;
+    load_profile profile_;
     // Targets whose answer the calls that wait are held for, and until when.
     std::vector<const target_state*> awaited_;
     milliseconds awaited_until_;
@@ -155,10 +157,13 @@
     bool awaits_answers(service_lane& lane);
     choice_input input_for(const service_entry& service,
                            const proxied_call* call);
+    milliseconds usual_time_of(const service_entry& service,
+                               const service_lane& lane) const;
     bool is_hopeless(const proxied_call& call, const service_lane& lane);
     void serve_waiting(service_lane& lane);
     std::shared_ptr<proxied_call> pop(service_lane& lane);
     void refuse_late(service_lane& lane);
+    bool place_late(proxied_call& call);
     void left_queue(service_lane& lane);
     void wake_other(const std::shared_ptr<service_state>& service);
     void poll_waiting(std::chrono::milliseconds interval);
--- a/modules/av_routing/ask_first_policy.cpp
+++ b/modules/av_routing/ask_first_policy.cpp
@@ -18,26 +18,32 @@
 
 // Reports that are older are asked for anew.
 constexpr milliseconds fresh_report_age(20.0);
+// A slowed machine is not looked at again before this time, since it stays
+// slow for a while.
+constexpr milliseconds slow_report_age(50.0);
 // Targets asked at once: with a third of them slowed, one in thirty choices
 // finds none that is not.
 constexpr std::size_t targets_asked = 3;
-// A target at least this good is taken without waiting for other answers.
-constexpr double good_slowdown = 1.3;
-constexpr double good_busy_share = 0.7;
-// Part of a slowdown that counts, since it mostly ends before the call does.
-constexpr double slowdown_weight = 0.5;
-// Cost of a target's last slot relative to an idle target, in calls.
-constexpr double busy_weight = 0.5;
+// A target that is slowed by less counts as usual.
+constexpr double usual_slowdown = 1.5;
+// Part of a call's patience after which other failure domains are asked.
+constexpr double stay_in_domain = 0.25;
+// Cost of a target's last slot relative to an idle target.
+constexpr double busy_weight = 0.3;
 // Cost of a target whose health check failed, which may be a false alarm.
 constexpr double unhealthy_cost = 3.0;
-// Calls that may wait at a target when no slot is free anywhere.
-constexpr double queued_at_target = 1.0;
 // Width of the random part of the order in which targets are asked.
 constexpr double order_noise = 0.6;
 
+bool is_slow(const target_view& target) noexcept
+{
+    return target.reported_slowdown_ > usual_slowdown;
+}
+
 bool is_fresh(const target_view& target) noexcept
 {
-    return target.reported_load_ >= 0 && target.report_age_ <= fresh_report_age;
+    const auto limit = is_slow(target) ? slow_report_age : fresh_report_age;
+    return target.reported_load_ >= 0 && target.report_age_ <= limit;
 }
 
 double load_of(const target_view& target) noexcept
@@ -48,29 +54,32 @@
     return is_fresh(target) ? seen : std::max(target.own_in_flight_, seen / 2);
 }
 
-bool has_free_slot(const target_view& target) noexcept
-{
-    return load_of(target) + 1.0 <= target.slots_;
-}
-
 // Returns the expected time of a call there, in units of its usual time.
 double cost_of(const target_view& target) noexcept
 {
     const double busy = load_of(target) / target.slots_;
-    const double queued =
-        std::max(0.0, load_of(target) + 1.0 - target.slots_) / target.slots_;
-    const double slowdown =
-        1.0 + slowdown_weight * (target.reported_slowdown_ - 1.0);
     const double alarm = target.says_unhealthy_ ? unhealthy_cost : 0.0;
     const double warmth = std::max(0.1, target.warmth_);
-    return slowdown * (1.0 + busy_weight * busy + queued) / warmth + alarm;
+    return target.reported_slowdown_ * (1.0 + busy_weight * busy) / warmth +
+           alarm;
 }
 
-bool is_good(const target_view& target) noexcept
+// Whether a call can begin there at once without slowing the target down.
+bool has_capacity(const target_view& target) noexcept
 {
-    return target.reported_slowdown_ <= good_slowdown &&
-           load_of(target) <= good_busy_share * target.slots_ &&
-           !target.says_unhealthy_ && target.warmth_ >= 1.0;
+    return load_of(target) + 1.0 <= target.best_concurrency_;
+}
+
+bool has_free_slot(const target_view& target) noexcept
+{
+    return load_of(target) + 1.0 <= target.slots_;
+}
+
+// Whether a call is expected to meet its objective there.
+bool is_in_time(const choice_input& input, const target_view& target) noexcept
+{
+    return !is_slow(target) || input.usual_time_ * target.reported_slowdown_ <=
+                                   input.objective_left_;
 }
 
 // Whether what is known of the target is good enough for a choice.
@@ -101,29 +110,49 @@
     return best;
 }
 
-bool may_queue_at(const target_view& target) noexcept
+bool may_leave_domain(const choice_input& input) noexcept
 {
-    return load_of(target) < target.slots_ + queued_at_target;
+    return input.patience_spent_ >= stay_in_domain;
 }
 
+bool is_last_chance(const choice_input& input) noexcept
+{
+    return input.patience_spent_ >= 1.0;
+}
+
+// Chooses a target of the own failure domain that serves the call in time;
+// then, once part of the call's patience is spent, one of another domain; and
+// before the call is refused, any with a free slot.
 std::optional<std::size_t> choose_asked(const choice_input& input)
 {
-    const auto own = cheapest(input,
-                              [](const target_view& target)
-                              {
-                                  return target.same_domain_ &&
-                                         has_free_slot(target);
-                              });
-    if (input.awaits_answers_)
+    const bool waits = input.awaits_answers_;
+    auto chosen =
+        cheapest(input,
+                 [&](const target_view& target)
+                 {
+                     const bool good = waits ? !is_slow(target) &&
+                                                   !target.says_unhealthy_
+                                             : is_in_time(input, target);
+                     return target.same_domain_ && has_capacity(target) && good;
+                 });
+    if (chosen || waits)
+    {
+        return chosen;
+    }
+    if (may_leave_domain(input))
     {
-        return own && is_good(input.targets_[*own]) ? own : std::nullopt;
+        chosen = cheapest(input,
+                          [&](const target_view& target)
+                          {
+                              return has_capacity(target) &&
+                                     is_in_time(input, target);
+                          });
     }
-    if (own)
+    if (!chosen && is_last_chance(input))
     {
-        return own;
+        chosen = cheapest(input, has_free_slot);
     }
-    const auto other = cheapest(input, has_free_slot);
-    return other ? other : cheapest(input, may_queue_at);
+    return chosen;
 }
 
 struct ranked_target
@@ -163,12 +192,12 @@
     return result;
 }
 
-// Asks the own failure domain first, and others once no target of its own that
-// was asked has a slot.
+// Asks the own failure domain first, and others once all of its own were asked
+// and part of the call's patience is spent.
 std::vector<std::size_t> whom_to_ask(const choice_input& input)
 {
     auto ranked = rank_unasked(input, true);
-    if (ranked.empty())
+    if (ranked.empty() && may_leave_domain(input))
     {
         ranked = rank_unasked(input, false);
     }
--- a/modules/av_routing/choice_policy.hpp
+++ b/modules/av_routing/choice_policy.hpp
@@ -24,6 +24,13 @@
     std::uint64_t sequence_ = 0;
     // Calls of the service that wait at this VM, the one to be sent included.
     std::size_t waiting_calls_ = 1;
+    // Usual time of a call of the service; zero before the first answer.
+    milliseconds usual_time_{0.0};
+    // Time until the call misses its latency objective.
+    milliseconds objective_left_{0.0};
+    // How much of the time that the call may wait is over, 0 to 1. At 1 it is
+    // refused unless a target is chosen now.
+    double patience_spent_ = 0.0;
     // Whether answers of targets that were asked for this choice may still
     // come.
     bool awaits_answers_ = false;
--- a/modules/av_routing/target_view.hpp
+++ b/modules/av_routing/target_view.hpp
@@ -16,6 +16,8 @@
     // Whether the target stands in this VM's failure domain.
     bool same_domain_ = true;
     int slots_ = 6;
+    // Calls with which the target completes the most; at most its slots.
+    int best_concurrency_ = 6;
     // Calls of this VM that the target has now.
     int own_in_flight_ = 0;
     // Calls of this VM that the target may have at once.
