Bound the retries of one VM by a small burst; take store changes together

Change: the bucket's size is a setting of the services, 1.5 on the platform; 600 ms between a change and the next watch.

--- a/modules/av_daemon/daemon_options.cpp
+++ b/modules/av_daemon/daemon_options.cpp
@@ -89,6 +89,7 @@
     auto& defaults = options.service_defaults_;
     defaults.choice_policy_ = section.choice_policy_;
     defaults.retry_ratio_ = section.retry_ratio_;
+    defaults.retry_burst_ = section.retry_burst_;
     defaults.queue_limit_ = section.queue_limit_;
     defaults.ejecting_failures_ = section.ejecting_failures_;
     return options;
--- a/modules/av_feed/collection_feed.hpp
+++ b/modules/av_feed/collection_feed.hpp
@@ -82,8 +82,9 @@
 private:
     // A watch that waits costs one call; longer ones may be cut anyway.
     static constexpr milliseconds watch_wait{30000.0};
-    // Changes that follow each other closely are had by one call.
-    static constexpr milliseconds watch_pause{200.0};
+    // Changes that follow each other closely are had by one call. A change
+    // after a quiet time is told at once by the watch that waits.
+    static constexpr milliseconds watch_pause{600.0};
 
     void list(const std::string& after)
     {
--- a/modules/av_limits/retry_budget.cpp
+++ b/modules/av_limits/retry_budget.cpp
@@ -6,21 +6,16 @@
 namespace anvilturn
 {
 
-namespace
-{
-
-constexpr double bucket_size_tokens = 10.0;
-
-} // namespace
-
-retry_budget
-after_first_attempt(retry_budget budget, double retry_ratio, int depth) noexcept
+retry_budget after_first_attempt(retry_budget budget,
+                                 double retry_ratio,
+                                 int depth,
+                                 double burst) noexcept
 {
     // With a share falling as 1/(1+depth)^2 the product over all layers stays
     // below e^(ratio * pi^2/6), however deep the calls go.
     const double layers = 1.0 + std::max(0, depth);
     const double earned = std::max(0.0, retry_ratio) / (layers * layers);
-    return {std::min(bucket_size_tokens, budget.tokens_ + earned)};
+    return {std::min(burst, budget.tokens_ + earned)};
 }
 
 bool may_spend(const retry_budget& budget) noexcept
--- a/modules/av_limits/retry_budget.hpp
+++ b/modules/av_limits/retry_budget.hpp
@@ -13,12 +13,16 @@
     double tokens_ = 0.0;
 };
 
+// Extra attempts that may come at once where a service says nothing else.
+constexpr double usual_retry_burst = 10.0;
+
 // Returns the budget after one first attempt of a call of the depth. Calls
 // below other layers (depth above zero) add less the deeper they stand, so
 // that retries of the layers do not multiply.
 retry_budget after_first_attempt(retry_budget budget,
                                  double retry_ratio,
-                                 int depth) noexcept;
+                                 int depth,
+                                 double burst = usual_retry_burst) noexcept;
 
 // Returns whether one extra attempt is allowed now.
 bool may_spend(const retry_budget& budget) noexcept;
--- a/modules/av_model/service_spec.hpp
+++ b/modules/av_model/service_spec.hpp
@@ -24,6 +24,8 @@
     milliseconds default_deadline_{10000.0};
     // Extra attempts (retries and hedges) allowed, as a share of first ones.
     double retry_ratio_ = 0.1;
+    // Extra attempts that one VM may make at once.
+    double retry_burst_ = 10.0;
     // The measuring budget: probes a second at each target from all VMs
     // together. Zero forbids probes.
     double probes_per_second_ = 0.0;
@@ -45,6 +47,7 @@
                         queue_limit_,
                         default_deadline_,
                         retry_ratio_,
+                        retry_burst_,
                         probes_per_second_,
                         probe_cost_,
                         target_concurrency_,
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -598,7 +598,10 @@
     if (++attempts_ == 1)
     {
         lane_->budget_ = after_first_attempt(
-            lane_->budget_, service_->spec_.retry_ratio_, head_->depth_);
+            lane_->budget_,
+            service_->spec_.retry_ratio_,
+            head_->depth_,
+            service_->spec_.retry_burst_);
     }
     attempt_started_at_ = worker_.now();
     load_at_start_ = target_->reported_load_.load(relaxed) +
--- a/modules/av_settings/settings_fields.cpp
+++ b/modules/av_settings/settings_fields.cpp
@@ -184,6 +184,12 @@
                      0.0,
                      1.0,
                      "extra attempts allowed, as a share of first ones"),
+        number_field("retry_burst",
+                     &section::retry_burst_,
+                     1.0,
+                     1000.0,
+                     "extra attempts that one VM may make at once; all VMs "
+                     "together make as many times that"),
         integer_field("queue_limit",
                       &section::queue_limit_,
                       0,
--- a/modules/av_settings/settings_sections.hpp
+++ b/modules/av_settings/settings_sections.hpp
@@ -87,6 +87,8 @@
     std::string choice_policy_ = "ask_first";
     // Extra attempts, as a share of first ones.
     double retry_ratio_ = 0.1;
+    // Extra attempts that one VM may make at once.
+    double retry_burst_ = 1.5;
     // Calls that may wait at one VM.
     int queue_limit_ = 512;
     // Failures in a row after which a target is ejected.
@@ -96,7 +98,11 @@
     auto tie() const
     {
         return std::tie(
-            choice_policy_, retry_ratio_, queue_limit_, ejecting_failures_);
+            choice_policy_,
+            retry_ratio_,
+            retry_burst_,
+            queue_limit_,
+            ejecting_failures_);
     }
 };
 
