Let a few VMs watch the store and tell the others

Change: av_mirror; the VMs that the settings name as seeds follow the store and push changes over TCP, others follow the store only while they hear no watcher that is in step. store_session asks for a sign of life before it lists again.

--- a/modules/av_daemon/daemon.cpp
+++ b/modules/av_daemon/daemon.cpp
@@ -213,8 +213,7 @@
     {
         if (adapter != nullptr)
         {
-            start_registry(*adapter);
-            return absl::OkStatus();
+            return start_registry(*adapter);
         }
         if (auto status = start_control(); !status.ok())
         {
@@ -236,7 +235,7 @@
         return absl::OkStatus();
     }
 
-    void start_registry(const store_adapter& adapter)
+    absl::Status start_registry(const store_adapter& adapter)
     {
         fleet_view fleet;
         fleet.self_ = self_description(settings_);
@@ -254,11 +253,18 @@
             has_targets_ = true;
             update_ready();
         };
+        const auto store = store_options_of(settings_);
+        registry_options options;
+        options.failure_domain_ = settings_.vm().failure_domain_;
+        options.peer_address_ = settings_.listen().peers_;
+        options.watchers_ = settings_.vm().seed_peers_;
+        options.service_defaults_ = store.service_defaults_;
         registry_ = std::make_unique<registry_control>(
             context_,
-            adapter.open_(context_, store_options_of(settings_)),
+            std::move(options),
+            adapter.open_(context_, store),
             std::move(handlers));
-        registry_->start();
+        return registry_->start();
     }
 
     // A VM that takes targets from the store is ready once it has them.
--- a/modules/av_feed/av_feed.hpp
+++ b/modules/av_feed/av_feed.hpp
@@ -1,8 +1,8 @@
 // Purpose: keeps a VM in step with the collections that the platform's store
 // holds, the releases and the targets, through an adapter that knows the
 // store's calls. Its headers include Asio: include them in source files only.
-// Depends on: av_core, av_model, av_http (dialects), av_net, av_registry,
-// Boost.Asio.
+// Depends on: av_core, av_model, av_http (dialects), av_mirror, av_net,
+// av_registry, Boost.Asio.
 
 #ifndef AV_FEED_AV_FEED_HPP
 #define AV_FEED_AV_FEED_HPP
@@ -12,5 +12,6 @@
 #include <av_feed/registry_control.hpp>
 #include <av_feed/store_adapter.hpp>
 #include <av_feed/store_call_counts.hpp>
+#include <av_feed/store_session.hpp>
 
 #endif
--- a/modules/av_feed/collection_feed.hpp
+++ b/modules/av_feed/collection_feed.hpp
@@ -4,7 +4,6 @@
 #include <av_core/error.hpp>
 #include <av_core/log_event.hpp>
 #include <av_feed/collection_source.hpp>
-#include <av_feed/retry_pace.hpp>
 #include <av_net/duration.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -12,7 +11,6 @@
 
 #include <functional>
 #include <iterator>
-#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,9 +24,8 @@
 {
     std::function<void(std::vector<listed_object<Value>> objects)> on_listing_;
     std::function<void(std::vector<object_change<Value>> changes)> on_changes_;
-    // The store answers again after at least one failure; told before what it
-    // answered.
-    std::function<void()> on_recovery_;
+    // A call failed; the feed has stopped.
+    std::function<void(const absl::Status& status)> on_failure_;
 };
 
 // Keeps in step with one collection: lists it by pages, then watches it, and
@@ -46,37 +43,37 @@
         : name_(std::move(name))
         , source_(std::move(source))
         , observer_(std::move(observer))
-        , random_(std::random_device()())
         , timer_(context)
     {
     }
 
+    // Lists the collection and watches it. A feed that was stopped begins
+    // anew: a watch from an earlier revision can be accepted and yet miss
+    // changes that the store has dropped from its history.
     void start()
     {
+        stop();
         list({});
     }
 
-    // Gives up on the call under way, whose connection may be silent, and
-    // tries again after a pause.
-    void interrupt()
+    // Gives up on the call under way; its connection may be silent.
+    void stop()
     {
         ++generation_;
-        fail(make_error(error_kind::platform_unreachable, "no answer"));
+        timer_.cancel();
+        listed_ = false;
     }
 
-    // Tries again at once if the feed pauses after failures.
-    void retry_now()
+    // Whether the collection was listed since the start.
+    bool is_listed() const
     {
-        if (pauses_)
-        {
-            timer_.cancel();
-            proceed();
-        }
+        return listed_;
     }
 
-    bool is_listed() const
+    // Returns the revision of the store up to which changes are known.
+    store_revision revision() const
     {
-        return listed_;
+        return revision_;
     }
 
 private:
@@ -106,6 +103,11 @@
 
     void take_page(typename collection_source<Value>::listing page, bool first)
     {
+        if (kind_of(page.status()) == error_kind::platform_history_gone)
+        {
+            list({});
+            return;
+        }
         if (!page.ok())
         {
             fail(page.status());
@@ -125,7 +127,6 @@
             return;
         }
         listed_ = true;
-        succeed();
         log_problems(objects_);
         observer_.on_listing_(std::exchange(objects_, {}));
         watch();
@@ -162,115 +163,79 @@
             fail(changes.status());
             return;
         }
-        succeed();
         revision_ = changes->revision_;
         if (changes->changes_.empty())
         {
             watch();
             return;
         }
-        for (const auto& change : changes->changes_)
-        {
-            if (!change.removed_)
-            {
-                log_problem(change.object_);
-            }
-        }
+        log_problems(*changes);
         observer_.on_changes_(std::move(changes->changes_));
-        pause(watch_pause);
+        watch_later();
     }
 
-    void log_problems(const std::vector<listed_object<Value>>& objects) const
+    void watch_later()
     {
-        for (const auto& object : objects)
-        {
-            log_problem(object);
-        }
+        timer_.expires_after(to_duration(watch_pause));
+        timer_.async_wait(
+            [this, generation = generation_](
+                const boost::system::error_code& error)
+            {
+                if (!error && generation == generation_)
+                {
+                    watch();
+                }
+            });
     }
 
-    void log_problem(const listed_object<Value>& object) const
+    void fail(const absl::Status& status)
     {
-        if (object.value_)
-        {
-            return;
-        }
-        log_event(log_level::warning, "store_object_unreadable")
-            .field("collection", name_)
-            .field("object", object.name_)
-            .field("revision", object.revision_)
-            .field("problem", object.problem_)
-            .write();
+        stop();
+        observer_.on_failure_(status);
     }
 
-    void succeed()
+    void log_problems(const std::vector<listed_object<Value>>& objects) const
     {
-        if (failures_ == 0)
+        for (const auto& object : objects)
         {
-            return;
+            log_problem(object);
         }
-        log_event(log_level::info, "store_regained")
-            .field("collection", name_)
-            .field("failures", failures_)
-            .write();
-        failures_ = 0;
-        observer_.on_recovery_();
     }
 
-    // After a failure the collection is listed anew: a watch from an earlier
-    // revision can be accepted and yet miss changes that the store has dropped
-    // from its history.
-    void fail(const absl::Status& status)
+    void log_problems(const object_changes<Value>& changes) const
     {
-        listed_ = false;
-        if (failures_++ == 0)
+        for (const auto& change : changes.changes_)
         {
-            log_event(log_level::warning, "store_lost")
-                .field("collection", name_)
-                .field("revision", revision_)
-                .field("error", status)
-                .write();
-        }
-        std::uniform_real_distribution<double> random(0.0, 1.0);
-        pause(retry_pause(failures_, random(random_)));
-    }
-
-    void pause(milliseconds time)
-    {
-        pauses_ = true;
-        timer_.expires_after(to_duration(time));
-        timer_.async_wait(
-            [this](const boost::system::error_code& error)
+            if (!change.removed_)
             {
-                if (!error)
-                {
-                    proceed();
-                }
-            });
+                log_problem(change.object_);
+            }
+        }
     }
 
-    void proceed()
+    void log_problem(const listed_object<Value>& object) const
     {
-        pauses_ = false;
-        if (listed_)
+        if (object.value_)
         {
-            watch();
             return;
         }
-        list({});
+        log_event(log_level::warning, "store_object_unreadable")
+            .field("collection", name_)
+            .field("object", object.name_)
+            .field("revision", object.revision_)
+            .field("problem", object.problem_)
+            .write();
     }
 
     const std::string name_;
     collection_source<Value> source_;
     collection_observer<Value> observer_;
-    std::minstd_rand random_;
     boost::asio::steady_timer timer_;
     std::vector<listed_object<Value>> objects_;
     store_revision revision_ = 0;
     // Answers to calls of an earlier generation are not waited for.
     int generation_ = 0;
-    int failures_ = 0;
     bool listed_ = false;
-    bool pauses_ = false;
 };
 
 } // namespace anvilturn
--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -2,10 +2,19 @@
 
 #include <av_core/log_event.hpp>
 #include <av_core/monotonic_clock.hpp>
-#include <av_feed/collection_feed.hpp>
+#include <av_feed/store_session.hpp>
+#include <av_mirror/mirror_client.hpp>
+#include <av_mirror/mirror_pace.hpp>
+#include <av_mirror/mirror_server.hpp>
+#include <av_net/duration.hpp>
 #include <av_registry/target_registry.hpp>
+#include <av_registry/watcher_choice.hpp>
+
+#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <optional>
+#include <random>
 #include <utility>
 
 namespace anvilturn
@@ -15,9 +24,18 @@
 
 namespace asio = boost::asio;
 
-// How often the store is asked for a sign of life, so that a watch which waits
-// on a store that has gone silent is given up soon. It is a cheap call.
-constexpr milliseconds check_period{1500.0};
+// How often the store is asked for a sign of life. Others rely on a watcher's
+// word, which must not be older than longest_store_silence.
+constexpr milliseconds watcher_check_period{400.0};
+constexpr milliseconds other_check_period{1500.0};
+// Time without a watcher after which a VM follows the store itself; at the
+// start the watchers start too.
+constexpr milliseconds patience_at_start{1500.0};
+constexpr milliseconds patience{300.0};
+// Within it the watchers are back in step.
+constexpr milliseconds patience_after_outage{1200.0};
+// How often a VM that hears no watcher looks for one.
+constexpr milliseconds search_period{500.0};
 
 } // namespace
 
@@ -25,102 +43,119 @@
 {
 public:
     implementation(asio::io_context& context,
+                   registry_options options,
                    store_calls calls,
                    registry_handlers handlers)
-        : calls_(std::move(calls))
+        : context_(context)
+        , options_(std::move(options))
+        , release_name_(calls.release_name_)
         , handlers_(std::move(handlers))
-        , check_timer_(context)
+        , watchers_(watchers_of(options_.watchers_, options_.peer_address_))
+        , random_(std::random_device()())
         , drop_timer_(context)
-        , releases_(context, "releases", calls_.releases_, release_observer())
-        , targets_(context, "targets", calls_.targets_, target_observer())
+        , search_timer_(context)
+        , patience_timer_(context)
+        , store_(context,
+                 std::move(calls),
+                 observer(),
+                 watchers_.empty() ? watcher_check_period : other_check_period,
+                 watchers_.empty() ? milliseconds(0.0) : patience_after_outage)
+        , server_(context,
+                  options_.failure_domain_,
+                  [this]
+                  {
+                      return monotonic_now() - answered_at();
+                  })
     {
     }
 
-    void start()
+    absl::Status start()
     {
-        releases_.start();
-        targets_.start();
-        check_later();
+        if (!options_.peer_address_.empty())
+        {
+            if (auto status = server_.start(options_.peer_address_);
+                !status.ok())
+            {
+                return status;
+            }
+        }
+        if (watchers_.empty())
+        {
+            store_.start();
+            return absl::OkStatus();
+        }
+        follow_store_after(patience_at_start);
+        search();
+        return absl::OkStatus();
     }
 
     registry_state state() const
     {
         auto result = state_;
-        result.store_answers_ = store_answers_;
+        result.answered_at_ = answered_at();
         result.targets_ = registry_.entries_.size();
-        result.calls_ = calls_.counts_();
+        result.subscribers_ = server_.subscribers();
+        result.calls_ = store_.counts();
+        if (is_told())
+        {
+            result.watcher_ = watchers_[*watcher_].address_;
+        }
         return result;
     }
 
 private:
-    collection_observer<release> release_observer()
+    store_observer observer()
     {
-        collection_observer<release> observer;
-        observer.on_listing_ =
+        store_observer result;
+        result.on_releases_ =
             [this](const std::vector<listed_object<release>>& objects)
         {
-            note_answer();
             for (const auto& object : objects)
             {
-                take_release(object);
-            }
-        };
-        observer.on_changes_ =
-            [this](const std::vector<object_change<release>>& changes)
-        {
-            note_answer();
-            for (const auto& change : changes)
-            {
-                if (!change.removed_)
+                if (object.name_ == release_name_ && object.value_)
                 {
-                    take_release(change.object_);
+                    take_release(
+                        std::make_shared<const release>(*object.value_));
                 }
             }
         };
-        observer.on_recovery_ = []
+        result.on_target_listing_ =
+            [this](const std::vector<listed_target>& objects)
         {
-        };
-        return observer;
-    }
-
-    collection_observer<target_spec> target_observer()
-    {
-        collection_observer<target_spec> observer;
-        observer.on_listing_ = [this](const std::vector<listed_target>& objects)
-        {
-            note_answer();
             take_listing(registry_, objects, monotonic_now());
-            publish_targets();
+            take_targets(store_.target_revision());
         };
-        observer.on_changes_ = [this](const std::vector<target_change>& changes)
+        result.on_target_changes_ =
+            [this](const std::vector<target_change>& changes)
         {
-            note_answer();
             take_changes(registry_, changes, monotonic_now());
-            publish_targets();
+            take_targets(store_.target_revision());
         };
-        observer.on_recovery_ = [this]
+        result.on_recovery_ = [this]
         {
             note_recovery(registry_, monotonic_now());
         };
-        return observer;
-    }
-
-    void note_answer()
-    {
-        state_.answered_at_ = monotonic_now();
+        return result;
     }
 
-    // A release that can't be read leaves the last one in force.
-    void take_release(const listed_object<release>& object)
+    void take_release(std::shared_ptr<const release> value)
     {
-        if (object.name_ != calls_.release_name_ || !object.value_ ||
-            object.value_->version_ <= state_.version_)
+        if (value->version_ <= state_.version_)
         {
             return;
         }
-        state_.version_ = object.value_->version_;
+        state_.version_ = value->version_;
         state_.release_at_ = monotonic_now();
-        handlers_.on_release_(std::make_shared<const release>(*object.value_));
+        server_.publish_release(value);
+        handlers_.on_release_(std::move(value));
+    }
+
+    void take_targets(store_revision revision)
+    {
+        revision_ = std::max(revision_, revision);
+        server_.publish_targets(registry_.entries_, revision_);
+        publish_targets();
+        drop_later();
     }
 
     void publish_targets()
@@ -130,10 +165,10 @@
         published_ = std::move(targets);
         state_.targets_at_ = monotonic_now();
         handlers_.on_targets_(published_);
-        drop_later();
     }
 
-    void log_differences(const std::map<std::string, target_spec>& targets) const
+    void
+    log_differences(const std::map<std::string, target_spec>& targets) const
     {
         for (const auto& entry : targets)
         {
@@ -156,7 +191,7 @@
         }
     }
 
-    static void log_target(std::string_view event, const target_spec& target)
+    void log_target(std::string_view event, const target_spec& target) const
     {
         log_event(log_level::info, event)
             .field("target", target.name_)
@@ -165,9 +200,11 @@
             .field("failure_domain", target.failure_domain_)
             .field("draining", target.draining_)
             .field("incarnation", target.incarnation_)
+            .field("revision", revision_)
             .write();
     }
 
+    // Entries that lapsed are dropped unless they come back.
     void drop_later()
     {
         const auto at = next_drop(registry_);
@@ -183,78 +220,206 @@
                 if (!error)
                 {
                     drop_lapsed(registry_, monotonic_now());
-                    publish_targets();
+                    take_targets(revision_);
                 }
             });
     }
 
-    void check_later()
+    milliseconds answered_at() const
+    {
+        return std::max(state_.answered_at_, store_.answered_at());
+    }
+
+    // Whether a watcher tells this VM what happens.
+    bool is_told() const
+    {
+        return told_;
+    }
+
+    // Subscribes to a watcher that was not found wanting lately.
+    void search()
     {
-        check_timer_.expires_after(to_duration(check_period));
-        check_timer_.async_wait(
+        watcher_ = choose_watcher(
+            watchers_, options_.failure_domain_, random_(), monotonic_now());
+        if (!watcher_)
+        {
+            search_later();
+            return;
+        }
+        mirror_handlers handlers;
+        handlers.on_update_ = [this](const registry_update& update)
+        {
+            return take_update(update);
+        };
+        handlers.on_end_ = [this](const std::string& reason)
+        {
+            lose_watcher(reason);
+        };
+        client_ = std::make_unique<mirror_client>(
+            context_, options_.service_defaults_, std::move(handlers));
+        client_->start(watchers_[*watcher_].address_, position_);
+    }
+
+    void search_later()
+    {
+        search_timer_.expires_after(to_duration(search_period));
+        search_timer_.async_wait(
             [this](const boost::system::error_code& error)
             {
                 if (!error)
                 {
-                    check();
+                    search();
                 }
             });
     }
 
-    void check()
+    bool take_update(const registry_update& update)
     {
-        calls_.check_(
-            [this](const absl::Status& status)
-            {
-                take_check(status.ok());
-                check_later();
-            });
+        auto& watcher = watchers_[*watcher_];
+        watcher.failure_domain_ = update.failure_domain_;
+        const bool is_starting = update.store_revision_ == 0 && !told_;
+        if (is_starting)
+        {
+            return true;
+        }
+        const bool is_stale = update.store_silent_ > longest_store_silence ||
+                              update.store_revision_ < revision_;
+        if (is_stale)
+        {
+            return false;
+        }
+        watcher.failed_at_.reset();
+        const auto now = monotonic_now();
+        if (has_better_watcher(
+                watchers_, *watcher_, options_.failure_domain_, now))
+        {
+            return false;
+        }
+        apply(update, now);
+        if (!std::exchange(told_, true))
+        {
+            patience_timer_.cancel();
+            store_.stop();
+            log_event(log_level::info, "watcher_found")
+                .field("address", watcher.address_)
+                .field("failure_domain", update.failure_domain_)
+                .field("revision", update.store_revision_)
+                .write();
+        }
+        return true;
+    }
+
+    void apply(const registry_update& update, milliseconds now)
+    {
+        state_.answered_at_ = now - update.store_silent_;
+        position_.epoch_ = update.epoch_;
+        position_.sequence_ = update.sequence_;
+        if (update.release_)
+        {
+            take_release(update.release_);
+        }
+        position_.release_version_ = state_.version_;
+        if (update.whole_)
+        {
+            take_whole(update, now);
+        }
+        else if (!update.changes_.empty())
+        {
+            take_changes(registry_, update.changes_, now);
+            take_targets(update.store_revision_);
+        }
+        revision_ = std::max(revision_, update.store_revision_);
     }
 
-    void take_check(bool answers)
+    void take_whole(const registry_update& update, milliseconds now)
     {
-        const bool answered = std::exchange(store_answers_, answers);
-        if (answers)
+        std::vector<listed_target> objects;
+        for (const auto& change : update.changes_)
         {
-            note_answer();
+            objects.push_back(change.object_);
         }
-        if (answered && !answers)
+        // The watcher has waited for entries that lapsed.
+        registry_.recovered_at_.reset();
+        take_listing(registry_, objects, now);
+        take_targets(update.store_revision_);
+    }
+
+    void lose_watcher(const std::string& reason)
+    {
+        auto& watcher = watchers_[*watcher_];
+        const auto now = monotonic_now();
+        const bool for_better = has_better_watcher(
+            watchers_, *watcher_, options_.failure_domain_, now);
+        if (!for_better)
         {
-            releases_.interrupt();
-            targets_.interrupt();
+            watcher.failed_at_ = now;
         }
-        else if (!answered && answers)
+        if (std::exchange(told_, false))
         {
-            releases_.retry_now();
-            targets_.retry_now();
+            ++state_.watcher_losses_;
+            log_event(log_level::warning, "watcher_lost")
+                .field("address", watcher.address_)
+                .field("reason", reason)
+                .field("store_answered_ago_ms",
+                       (now - state_.answered_at_).count())
+                .write();
+            follow_store_after(patience);
         }
+        search();
+    }
+
+    void follow_store_after(milliseconds time)
+    {
+        patience_timer_.expires_after(to_duration(time));
+        patience_timer_.async_wait(
+            [this](const boost::system::error_code& error)
+            {
+                if (!error && !told_)
+                {
+                    log_event(log_level::info, "store_followed").write();
+                    store_.start_carefully();
+                }
+            });
     }
 
-    store_calls calls_;
+    asio::io_context& context_;
+    const registry_options options_;
+    const std::string release_name_;
     registry_handlers handlers_;
-    asio::steady_timer check_timer_;
+    std::vector<watcher_record> watchers_;
+    std::minstd_rand random_;
     asio::steady_timer drop_timer_;
+    asio::steady_timer search_timer_;
+    asio::steady_timer patience_timer_;
     registry_state state_;
     target_registry registry_;
     std::map<std::string, target_spec> published_;
-    bool store_answers_ = true;
-    collection_feed<release> releases_;
-    collection_feed<target_spec> targets_;
+    // Of the store, up to which the targets are known here.
+    store_revision revision_ = 0;
+    std::optional<std::size_t> watcher_;
+    mirror_position position_;
+    bool told_ = false;
+    store_session store_;
+    mirror_server server_;
+    std::unique_ptr<mirror_client> client_;
 };
 
 registry_control::registry_control(asio::io_context& context,
+                                   registry_options options,
                                    store_calls calls,
                                    registry_handlers handlers)
-    : implementation_(std::make_unique<implementation>(
-          context, std::move(calls), std::move(handlers)))
+    : implementation_(std::make_unique<implementation>(context,
+                                                       std::move(options),
+                                                       std::move(calls),
+                                                       std::move(handlers)))
 {
 }
 
 registry_control::~registry_control() = default;
 
-void registry_control::start()
+absl::Status registry_control::start()
 {
-    implementation_->start();
+    return implementation_->start();
 }
 
 registry_state registry_control::state() const
--- /dev/null
+++ b/modules/av_feed/store_session.cpp
@@ -0,0 +1,323 @@
+#include <av_feed/store_session.hpp>
+
+#include <av_core/log_event.hpp>
+#include <av_core/monotonic_clock.hpp>
+#include <av_feed/collection_feed.hpp>
+#include <av_feed/retry_pace.hpp>
+
+#include <random>
+#include <utility>
+
+namespace anvilturn
+{
+namespace
+{
+
+namespace asio = boost::asio;
+
+} // namespace
+
+class store_session::implementation
+{
+public:
+    implementation(asio::io_context& context,
+                   store_calls calls,
+                   store_observer observer,
+                   milliseconds check_period,
+                   milliseconds follow_delay)
+        : calls_(std::move(calls))
+        , observer_(std::move(observer))
+        , check_period_(check_period)
+        , follow_delay_(follow_delay)
+        , random_(std::random_device()())
+        , timer_(context)
+        , releases_(context, "releases", calls_.releases_, release_observer())
+        , targets_(context, "targets", calls_.targets_, target_observer())
+    {
+    }
+
+    void start()
+    {
+        if (running_)
+        {
+            return;
+        }
+        running_ = true;
+        follow();
+    }
+
+    void start_carefully()
+    {
+        if (running_)
+        {
+            return;
+        }
+        running_ = true;
+        failures_ = 0;
+        lost_ = true;
+        ++generation_;
+        check();
+    }
+
+    void stop()
+    {
+        running_ = false;
+        ++generation_;
+        timer_.cancel();
+        releases_.stop();
+        targets_.stop();
+    }
+
+    bool is_running() const
+    {
+        return running_;
+    }
+
+    milliseconds answered_at() const
+    {
+        return answered_at_;
+    }
+
+    bool is_in_step() const
+    {
+        return releases_.is_listed() && targets_.is_listed();
+    }
+
+    store_revision target_revision() const
+    {
+        return targets_.revision();
+    }
+
+    store_call_counts counts() const
+    {
+        return calls_.counts_();
+    }
+
+private:
+    collection_observer<release> release_observer()
+    {
+        collection_observer<release> observer;
+        observer.on_listing_ =
+            [this](const std::vector<listed_object<release>>& objects)
+        {
+            take_answer();
+            observer_.on_releases_(objects);
+        };
+        observer.on_changes_ =
+            [this](const std::vector<object_change<release>>& changes)
+        {
+            take_answer();
+            std::vector<listed_object<release>> objects;
+            for (const auto& change : changes)
+            {
+                if (!change.removed_)
+                {
+                    objects.push_back(change.object_);
+                }
+            }
+            observer_.on_releases_(objects);
+        };
+        observer.on_failure_ = [this](const absl::Status& status)
+        {
+            fail(status);
+        };
+        return observer;
+    }
+
+    collection_observer<target_spec> target_observer()
+    {
+        collection_observer<target_spec> observer;
+        observer.on_listing_ =
+            [this](const std::vector<listed_object<target_spec>>& objects)
+        {
+            take_answer();
+            observer_.on_target_listing_(objects);
+        };
+        observer.on_changes_ =
+            [this](const std::vector<object_change<target_spec>>& changes)
+        {
+            take_answer();
+            observer_.on_target_changes_(changes);
+        };
+        observer.on_failure_ = [this](const absl::Status& status)
+        {
+            fail(status);
+        };
+        return observer;
+    }
+
+    // Begins, or begins again, to follow both collections.
+    void follow()
+    {
+        releases_.start();
+        targets_.start();
+        check_after(check_period_);
+    }
+
+    void take_answer()
+    {
+        answered_at_ = monotonic_now();
+        if (std::exchange(lost_, false))
+        {
+            log_event(log_level::info, "store_regained")
+                .field("failures", failures_)
+                .write();
+            observer_.on_recovery_();
+        }
+        if (is_in_step())
+        {
+            failures_ = 0;
+        }
+    }
+
+    void fail(const absl::Status& status)
+    {
+        releases_.stop();
+        targets_.stop();
+        lost_ = true;
+        if (failures_++ == 0)
+        {
+            log_event(log_level::warning, "store_lost")
+                .field("answered_ago_ms",
+                       (monotonic_now() - answered_at_).count())
+                .field("error", status)
+                .write();
+        }
+        std::uniform_real_distribution<double> random(0.0, 1.0);
+        check_after(retry_pause(failures_, random(random_)));
+    }
+
+    void check_after(milliseconds pause)
+    {
+        const auto generation = ++generation_;
+        timer_.expires_after(to_duration(pause));
+        timer_.async_wait(
+            [this, generation](const boost::system::error_code& error)
+            {
+                if (!error && generation == generation_)
+                {
+                    check();
+                }
+            });
+    }
+
+    void check()
+    {
+        calls_.check_(
+            [this, generation = generation_](const absl::Status& status)
+            {
+                if (generation == generation_)
+                {
+                    take_check(status);
+                }
+            });
+    }
+
+    void take_check(const absl::Status& status)
+    {
+        if (!status.ok())
+        {
+            fail(status);
+            return;
+        }
+        answered_at_ = monotonic_now();
+        if (!lost_)
+        {
+            check_after(check_period_);
+            return;
+        }
+        if (failures_ == 0)
+        {
+            follow();
+            return;
+        }
+        follow_later();
+    }
+
+    // After an outage VMs come back together, and most find a watcher before
+    // they need the store.
+    void follow_later()
+    {
+        const auto generation = ++generation_;
+        timer_.expires_after(to_duration(follow_delay_));
+        timer_.async_wait(
+            [this, generation](const boost::system::error_code& error)
+            {
+                if (!error && generation == generation_)
+                {
+                    follow();
+                }
+            });
+    }
+
+    store_calls calls_;
+    store_observer observer_;
+    const milliseconds check_period_;
+    const milliseconds follow_delay_;
+    std::minstd_rand random_;
+    asio::steady_timer timer_;
+    collection_feed<release> releases_;
+    collection_feed<target_spec> targets_;
+    milliseconds answered_at_;
+    int generation_ = 0;
+    int failures_ = 0;
+    bool running_ = false;
+    bool lost_ = false;
+};
+
+store_session::store_session(asio::io_context& context,
+                             store_calls calls,
+                             store_observer observer,
+                             milliseconds check_period,
+                             milliseconds follow_delay)
+    : implementation_(std::make_unique<implementation>(context,
+                                                       std::move(calls),
+                                                       std::move(observer),
+                                                       check_period,
+                                                       follow_delay))
+{
+}
+
+store_session::~store_session() = default;
+
+void store_session::start()
+{
+    implementation_->start();
+}
+
+void store_session::start_carefully()
+{
+    implementation_->start_carefully();
+}
+
+void store_session::stop()
+{
+    implementation_->stop();
+}
+
+bool store_session::is_running() const
+{
+    return implementation_->is_running();
+}
+
+milliseconds store_session::answered_at() const
+{
+    return implementation_->answered_at();
+}
+
+bool store_session::is_in_step() const
+{
+    return implementation_->is_in_step();
+}
+
+store_revision store_session::target_revision() const
+{
+    return implementation_->target_revision();
+}
+
+store_call_counts store_session::counts() const
+{
+    return implementation_->counts();
+}
+
+} // namespace anvilturn
--- /dev/null
+++ b/modules/av_mirror/mirror_pace.hpp
@@ -0,0 +1,25 @@
+#ifndef AV_MIRROR_MIRROR_PACE_HPP
+#define AV_MIRROR_MIRROR_PACE_HPP
+
+#include <av_core/milliseconds.hpp>
+
+namespace anvilturn
+{
+
+// How often a watcher is heard when nothing changes.
+constexpr milliseconds mirror_beat{350.0};
+
+// A watcher that was not heard for this long is given up: changes must be
+// known everywhere within two seconds, also when a watcher freezes.
+constexpr milliseconds longest_silence{900.0};
+
+// A watcher that did not hear the store for this long can't vouch for what it
+// tells.
+constexpr milliseconds longest_store_silence{1000.0};
+
+// Time limit of a connection to a watcher.
+constexpr milliseconds mirror_connect_timeout{400.0};
+
+} // namespace anvilturn
+
+#endif
--- /dev/null
+++ b/modules/av_mirror/mirror_server.cpp
@@ -0,0 +1,391 @@
+#include <av_mirror/mirror_server.hpp>
+
+#include <av_core/error.hpp>
+#include <av_core/log_event.hpp>
+#include <av_mirror/mirror_pace.hpp>
+#include <av_mirror/update_codec.hpp>
+#include <av_net/duration.hpp>
+#include <av_net/endpoint.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <deque>
+#include <random>
+#include <set>
+#include <sstream>
+#include <utility>
+
+namespace anvilturn
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+using shared_frame = std::shared_ptr<const std::string>;
+
+// Messages that wait for a slow subscriber before it is dropped; it then asks
+// again.
+constexpr std::size_t longest_backlog = 64;
+constexpr std::size_t most_subscribers = 1024;
+constexpr std::size_t longest_subscription = 4096;
+
+std::uint64_t draw_epoch()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U | device()) | 1U;
+}
+
+} // namespace
+
+class mirror_server::implementation
+    : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(asio::io_context& context,
+                   const std::string& failure_domain,
+                   std::function<milliseconds()> store_silence)
+        : context_(context)
+        , store_silence_(std::move(store_silence))
+        , acceptor_(context)
+        , timer_(context)
+    {
+        log_.epoch_ = draw_epoch();
+        log_.failure_domain_ = failure_domain;
+    }
+
+    absl::Status start(const std::string& address)
+    {
+        const auto parsed = parse_endpoint(address);
+        error_code error;
+        if (!parsed)
+        {
+            return make_error(error_kind::settings_invalid,
+                              "peers: " + address +
+                                  " is not IP number and port");
+        }
+        acceptor_.open(parsed->protocol(), error);
+        if (!error)
+        {
+            acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+        }
+        if (!error)
+        {
+            acceptor_.bind(*parsed, error);
+        }
+        if (!error)
+        {
+            acceptor_.listen(asio::socket_base::max_listen_connections, error);
+        }
+        if (error)
+        {
+            return make_error(error_kind::settings_invalid,
+                              "can't listen on " + address + ": " +
+                                  error.message());
+        }
+        accept();
+        beat_later();
+        return absl::OkStatus();
+    }
+
+    void stop()
+    {
+        error_code ignored;
+        acceptor_.close(ignored);
+        timer_.cancel();
+        const auto sessions = std::exchange(sessions_, {});
+        for (const auto& session : sessions)
+        {
+            session->close();
+        }
+    }
+
+    void publish_targets(const std::map<std::string, registered_target>& targets,
+                         store_revision revision)
+    {
+        const auto before = position();
+        record_targets(log_, targets, revision);
+        if (position().sequence_ != before.sequence_)
+        {
+            tell(before);
+        }
+    }
+
+    void publish_release(std::shared_ptr<const release> value)
+    {
+        const auto before = position();
+        record_release(log_, std::move(value));
+        tell(before);
+    }
+
+    std::size_t subscribers() const
+    {
+        return sessions_.size();
+    }
+
+    std::string address() const
+    {
+        std::ostringstream text;
+        text << acceptor_.local_endpoint();
+        return text.str();
+    }
+
+private:
+    // One VM that is told.
+    class session : public std::enable_shared_from_this<session>
+    {
+    public:
+        session(implementation& owner, tcp::socket socket)
+            : owner_(owner)
+            , socket_(std::move(socket))
+        {
+        }
+
+        void start()
+        {
+            error_code ignored;
+            socket_.set_option(tcp::no_delay(true), ignored);
+            asio::async_read(
+                socket_,
+                asio::buffer(header_),
+                [self = shared_from_this()](const error_code& error,
+                                            std::size_t)
+                {
+                    self->on_header(error);
+                });
+        }
+
+        bool is_subscribed() const
+        {
+            return subscribed_;
+        }
+
+        void send(const shared_frame& frame)
+        {
+            if (frames_.size() >= longest_backlog)
+            {
+                owner_.drop(shared_from_this());
+                return;
+            }
+            frames_.push_back(frame);
+            if (frames_.size() == 1)
+            {
+                write();
+            }
+        }
+
+        void close()
+        {
+            error_code ignored;
+            socket_.close(ignored);
+        }
+
+    private:
+        void on_header(const error_code& error)
+        {
+            const auto length =
+                frame_length({header_.data(), header_.size()});
+            if (error || length > longest_subscription)
+            {
+                owner_.drop(shared_from_this());
+                return;
+            }
+            body_.resize(length);
+            asio::async_read(
+                socket_,
+                asio::buffer(body_),
+                [self = shared_from_this()](const error_code& failure,
+                                            std::size_t)
+                {
+                    self->on_body(failure);
+                });
+        }
+
+        void on_body(const error_code& error)
+        {
+            const auto position = read_subscription(body_);
+            if (error || !position.ok())
+            {
+                owner_.drop(shared_from_this());
+                return;
+            }
+            subscribed_ = true;
+            send(owner_.frame_since(*position));
+            watch_for_close();
+        }
+
+        // Nothing follows a subscription but the end of the connection.
+        void watch_for_close()
+        {
+            socket_.async_wait(tcp::socket::wait_read,
+                               [self = shared_from_this()](const error_code&)
+                               {
+                                   self->owner_.drop(self);
+                               });
+        }
+
+        void write()
+        {
+            asio::async_write(
+                socket_,
+                asio::buffer(*frames_.front()),
+                [self = shared_from_this()](const error_code& error,
+                                            std::size_t)
+                {
+                    self->on_written(error);
+                });
+        }
+
+        void on_written(const error_code& error)
+        {
+            if (error)
+            {
+                owner_.drop(shared_from_this());
+                return;
+            }
+            frames_.pop_front();
+            if (!frames_.empty())
+            {
+                write();
+            }
+        }
+
+        implementation& owner_;
+        tcp::socket socket_;
+        std::array<char, frame_header_bytes> header_{};
+        std::string body_;
+        std::deque<shared_frame> frames_;
+        bool subscribed_ = false;
+    };
+
+    void accept()
+    {
+        acceptor_.async_accept(
+            [weak = weak_from_this()](const error_code& error,
+                                      tcp::socket socket)
+            {
+                const auto self = weak.lock();
+                if (!self || !self->acceptor_.is_open())
+                {
+                    return;
+                }
+                if (!error && self->sessions_.size() < most_subscribers)
+                {
+                    const auto added = std::make_shared<session>(
+                        *self, std::move(socket));
+                    self->sessions_.insert(added);
+                    added->start();
+                }
+                self->accept();
+            });
+    }
+
+    void drop(const std::shared_ptr<session>& value)
+    {
+        value->close();
+        sessions_.erase(value);
+    }
+
+    mirror_position position() const
+    {
+        return {log_.epoch_,
+                log_.sequence_,
+                log_.release_ ? log_.release_->version_ : 0};
+    }
+
+    shared_frame frame_since(const mirror_position& since) const
+    {
+        auto update = update_since(log_, since);
+        update.store_silent_ = store_silence_();
+        return std::make_shared<const std::string>(write_update(update));
+    }
+
+    // All subscribers stand at the same position once they were told first.
+    void tell(const mirror_position& since)
+    {
+        if (sessions_.empty())
+        {
+            return;
+        }
+        const auto frame = frame_since(since);
+        const auto sessions = sessions_;
+        for (const auto& session : sessions)
+        {
+            if (session->is_subscribed())
+            {
+                session->send(frame);
+            }
+        }
+    }
+
+    void beat_later()
+    {
+        timer_.expires_after(to_duration(mirror_beat));
+        timer_.async_wait(
+            [weak = weak_from_this()](const error_code& error)
+            {
+                const auto self = weak.lock();
+                if (!error && self)
+                {
+                    self->tell(self->position());
+                    self->beat_later();
+                }
+            });
+    }
+
+    asio::io_context& context_;
+    std::function<milliseconds()> store_silence_;
+    tcp::acceptor acceptor_;
+    asio::steady_timer timer_;
+    registry_log log_;
+    std::set<std::shared_ptr<session>> sessions_;
+};
+
+mirror_server::mirror_server(asio::io_context& context,
+                             const std::string& failure_domain,
+                             std::function<milliseconds()> store_silence)
+    : implementation_(std::make_shared<implementation>(
+          context, failure_domain, std::move(store_silence)))
+{
+}
+
+mirror_server::~mirror_server()
+{
+    implementation_->stop();
+}
+
+absl::Status mirror_server::start(const std::string& address)
+{
+    return implementation_->start(address);
+}
+
+void mirror_server::publish_targets(
+    const std::map<std::string, registered_target>& targets,
+    store_revision revision)
+{
+    implementation_->publish_targets(targets, revision);
+}
+
+void mirror_server::publish_release(std::shared_ptr<const release> value)
+{
+    implementation_->publish_release(std::move(value));
+}
+
+std::size_t mirror_server::subscribers() const
+{
+    return implementation_->subscribers();
+}
+
+std::string mirror_server::address() const
+{
+    return implementation_->address();
+}
+
+} // namespace anvilturn
--- /dev/null
+++ b/modules/av_mirror/registry_log.cpp
@@ -0,0 +1,115 @@
+#include <av_mirror/registry_log.hpp>
+
+#include <utility>
+
+namespace anvilturn
+{
+namespace
+{
+
+target_change change_to(const std::string& name,
+                        const registered_target& target,
+                        bool removed)
+{
+    target_change change;
+    change.object_.name_ = name;
+    change.object_.revision_ = target.revision_;
+    change.object_.value_ = target.spec_;
+    change.removed_ = removed;
+    return change;
+}
+
+void append(registry_log& log, target_change change)
+{
+    log.changes_.push_back({++log.sequence_, std::move(change)});
+    if (log.changes_.size() > kept_changes)
+    {
+        log.changes_.pop_front();
+    }
+}
+
+bool has_changes_since(const registry_log& log, std::uint64_t sequence)
+{
+    return sequence <= log.sequence_ &&
+           log.sequence_ - sequence <= log.changes_.size();
+}
+
+void add_all(const registry_log& log, registry_update& update)
+{
+    update.whole_ = true;
+    for (const auto& entry : log.targets_)
+    {
+        update.changes_.push_back(change_to(entry.first, entry.second, false));
+    }
+}
+
+void add_changes_since(const registry_log& log,
+                       std::uint64_t sequence,
+                       registry_update& update)
+{
+    for (const auto& change : log.changes_)
+    {
+        if (change.sequence_ > sequence)
+        {
+            update.changes_.push_back(change.change_);
+        }
+    }
+}
+
+} // namespace
+
+void record_targets(registry_log& log,
+                    const std::map<std::string, registered_target>& targets,
+                    store_revision revision)
+{
+    log.store_revision_ = revision;
+    for (const auto& entry : targets)
+    {
+        const auto known = log.targets_.find(entry.first);
+        if (known == log.targets_.end() ||
+            known->second.spec_ != entry.second.spec_)
+        {
+            append(log, change_to(entry.first, entry.second, false));
+        }
+    }
+    for (const auto& entry : log.targets_)
+    {
+        if (targets.count(entry.first) == 0)
+        {
+            append(log, change_to(entry.first, entry.second, true));
+        }
+    }
+    log.targets_ = targets;
+}
+
+void record_release(registry_log& log, std::shared_ptr<const release> value)
+{
+    log.release_ = std::move(value);
+}
+
+registry_update update_since(const registry_log& log,
+                             const mirror_position& position)
+{
+    registry_update update;
+    update.epoch_ = log.epoch_;
+    update.failure_domain_ = log.failure_domain_;
+    update.sequence_ = log.sequence_;
+    update.store_revision_ = log.store_revision_;
+    const bool follows = position.epoch_ == log.epoch_ &&
+                         has_changes_since(log, position.sequence_);
+    if (follows)
+    {
+        add_changes_since(log, position.sequence_, update);
+    }
+    else
+    {
+        add_all(log, update);
+    }
+    if (log.release_ && log.release_->version_ > position.release_version_)
+    {
+        update.release_ = log.release_;
+    }
+    return update;
+}
+
+} // namespace anvilturn
--- /dev/null
+++ b/modules/av_mirror/registry_log.hpp
@@ -0,0 +1,51 @@
+#ifndef AV_MIRROR_REGISTRY_LOG_HPP
+#define AV_MIRROR_REGISTRY_LOG_HPP
+
+#include <av_mirror/registry_update.hpp>
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace anvilturn
+{
+
+// A change with its number.
+struct numbered_change
+{
+    std::uint64_t sequence_ = 0;
+    target_change change_;
+};
+
+// What a watcher keeps to tell others: the targets as they are and the changes
+// that led there last.
+struct registry_log
+{
+    std::uint64_t epoch_ = 0;
+    std::string failure_domain_;
+    std::uint64_t sequence_ = 0;
+    store_revision store_revision_ = 0;
+    std::map<std::string, registered_target> targets_;
+    std::deque<numbered_change> changes_;
+    std::shared_ptr<const release> release_;
+};
+
+// Changes that are kept; who lacks older ones is told everything.
+constexpr std::size_t kept_changes = 1024;
+
+// Takes the targets as they are now, at the revision of the store.
+void record_targets(registry_log& log,
+                    const std::map<std::string, registered_target>& targets,
+                    store_revision revision);
+
+void record_release(registry_log& log, std::shared_ptr<const release> value);
+
+// Returns what one that stands at the position lacks.
+registry_update update_since(const registry_log& log,
+                             const mirror_position& position);
+
+} // namespace anvilturn
+
+#endif
--- /dev/null
+++ b/modules/av_mirror/update_codec.cpp
@@ -0,0 +1,289 @@
+#include <av_mirror/update_codec.hpp>
+
+#include <av_core/error.hpp>
+#include <av_mirror/mirror.capnp.h>
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <algorithm>
+#include <cstring>
+#include <limits>
+
+namespace anvilturn
+{
+namespace
+{
+
+constexpr unsigned bits_per_byte = 8;
+
+capnp::Text::Reader to_text(const std::string& value)
+{
+    return {value.c_str(), value.size()};
+}
+
+std::string to_string(capnp::Text::Reader text)
+{
+    return {text.begin(), text.size()};
+}
+
+std::string to_frame(capnp::MessageBuilder& message)
+{
+    const auto words = capnp::messageToFlatArray(message);
+    const auto bytes = words.asBytes();
+    std::string frame;
+    frame.reserve(frame_header_bytes + bytes.size());
+    for (unsigned i = 0; i < frame_header_bytes; ++i)
+    {
+        frame += static_cast<char>(bytes.size() >> (i * bits_per_byte));
+    }
+    frame.append(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+    return frame;
+}
+
+// Cap'n Proto reads whole, aligned words.
+kj::Array<capnp::word> to_words(std::string_view bytes)
+{
+    auto words = kj::heapArray<capnp::word>(
+        (bytes.size() + sizeof(capnp::word) - 1) / sizeof(capnp::word));
+    std::memset(words.begin(), 0, words.size() * sizeof(capnp::word));
+    std::memcpy(words.begin(), bytes.data(), bytes.size());
+    return words;
+}
+
+void fill(wire::RegisteredTarget::Builder builder, const target_change& change)
+{
+    builder.setName(to_text(change.object_.name_));
+    builder.setRevision(change.object_.revision_);
+    builder.setRemoved(change.removed_);
+    if (change.removed_ || !change.object_.value_)
+    {
+        return;
+    }
+    const auto& spec = *change.object_.value_;
+    builder.setService(to_text(spec.service_));
+    builder.setAddress(to_text(spec.address_));
+    builder.setFailureDomain(to_text(spec.failure_domain_));
+    builder.setSlots(spec.slots_);
+    builder.setDraining(spec.draining_);
+    builder.setIncarnation(spec.incarnation_);
+}
+
+target_change read_change(wire::RegisteredTarget::Reader reader)
+{
+    target_change change;
+    change.object_.name_ = to_string(reader.getName());
+    change.object_.revision_ = reader.getRevision();
+    change.removed_ = reader.getRemoved();
+    target_spec spec;
+    spec.name_ = change.object_.name_;
+    spec.service_ = to_string(reader.getService());
+    spec.address_ = to_string(reader.getAddress());
+    spec.failure_domain_ = to_string(reader.getFailureDomain());
+    spec.slots_ = std::max(1, reader.getSlots());
+    spec.draining_ = reader.getDraining();
+    spec.incarnation_ = reader.getIncarnation();
+    change.object_.value_ = std::move(spec);
+    return change;
+}
+
+void fill(wire::Rule::Builder builder, const rule_spec& rule)
+{
+    builder.setName(to_text(rule.name_));
+    builder.setHost(to_text(rule.host_));
+    builder.setPathPrefix(to_text(rule.path_prefix_));
+    builder.setService(to_text(rule.service_));
+    builder.setTrafficClass(static_cast<std::uint8_t>(rule.class_));
+    builder.setIdempotent(rule.idempotent_);
+    builder.setTimeoutMs(rule.timeout_.count());
+    builder.setObjectiveMs(rule.objective_.count());
+    builder.setMostAttempts(rule.most_attempts_);
+    auto parts =
+        builder.initSplit(static_cast<unsigned>(rule.split_.size()));
+    for (unsigned i = 0; i < parts.size(); ++i)
+    {
+        parts[i].setService(to_text(rule.split_[i].service_));
+        parts[i].setWeight(rule.split_[i].weight_);
+    }
+}
+
+rule_spec read_rule(wire::Rule::Reader reader)
+{
+    constexpr auto lowest_class =
+        static_cast<std::uint8_t>(traffic_class_count - 1);
+    rule_spec rule;
+    rule.name_ = to_string(reader.getName());
+    rule.host_ = to_string(reader.getHost());
+    rule.path_prefix_ = to_string(reader.getPathPrefix());
+    rule.service_ = to_string(reader.getService());
+    rule.class_ = static_cast<traffic_class>(
+        std::min(reader.getTrafficClass(), lowest_class));
+    rule.idempotent_ = reader.getIdempotent();
+    rule.timeout_ = milliseconds(reader.getTimeoutMs());
+    rule.objective_ = milliseconds(reader.getObjectiveMs());
+    rule.most_attempts_ = reader.getMostAttempts();
+    for (const auto part : reader.getSplit())
+    {
+        rule.split_.push_back({to_string(part.getService()), part.getWeight()});
+    }
+    return rule;
+}
+
+void fill(wire::StoreRelease::Builder builder, const release& value)
+{
+    builder.setVersion(value.version_);
+    auto rules =
+        builder.initRules(static_cast<unsigned>(value.rules_.size()));
+    unsigned index = 0;
+    for (const auto& rule : value.rules_)
+    {
+        fill(rules[index++], rule.second);
+    }
+    auto services =
+        builder.initServices(static_cast<unsigned>(value.services_.size()));
+    index = 0;
+    for (const auto& service : value.services_)
+    {
+        services[index].setName(to_text(service.first));
+        services[index++].setHealthPath(to_text(service.second.health_path_));
+    }
+}
+
+release read_release(wire::StoreRelease::Reader reader,
+                     const service_spec& defaults)
+{
+    release value;
+    value.version_ = reader.getVersion();
+    for (const auto entry : reader.getRules())
+    {
+        auto rule = read_rule(entry);
+        const auto name = rule.name_;
+        value.rules_[name] = std::move(rule);
+    }
+    for (const auto entry : reader.getServices())
+    {
+        auto service = defaults;
+        service.name_ = to_string(entry.getName());
+        service.health_path_ = to_string(entry.getHealthPath());
+        value.services_[service.name_] = service;
+    }
+    return value;
+}
+
+// Runs the reading function on the message; Cap'n Proto throws on bytes that
+// are none.
+template <typename Value, typename Read>
+absl::StatusOr<Value> read_message(std::string_view bytes, Read read)
+{
+    try
+    {
+        const auto words = to_words(bytes);
+        capnp::ReaderOptions options;
+        options.traversalLimitInWords =
+            longest_frame_bytes / sizeof(capnp::word);
+        capnp::FlatArrayMessageReader message(words, options);
+        return read(message);
+    }
+    catch (const kj::Exception& error)
+    {
+        return make_error(error_kind::peer_malformed,
+                          std::string("a message of a watcher: ") +
+                              error.getDescription().cStr());
+    }
+}
+
+} // namespace
+
+std::string write_subscription(const mirror_position& position)
+{
+    capnp::MallocMessageBuilder message;
+    auto builder = message.initRoot<wire::Subscription>();
+    builder.setEpoch(position.epoch_);
+    builder.setSequence(position.sequence_);
+    builder.setReleaseVersion(position.release_version_);
+    return to_frame(message);
+}
+
+std::string write_update(const registry_update& update)
+{
+    capnp::MallocMessageBuilder message;
+    auto builder = message.initRoot<wire::Update>();
+    builder.setEpoch(update.epoch_);
+    builder.setSequence(update.sequence_);
+    builder.setWhole(update.whole_);
+    builder.setFailureDomain(to_text(update.failure_domain_));
+    builder.setStoreRevision(update.store_revision_);
+    builder.setStoreSilentMs(static_cast<std::uint32_t>(
+        std::clamp(update.store_silent_.count(),
+                   0.0,
+                   static_cast<double>(
+                       std::numeric_limits<std::uint32_t>::max()))));
+    auto targets =
+        builder.initTargets(static_cast<unsigned>(update.changes_.size()));
+    for (unsigned i = 0; i < targets.size(); ++i)
+    {
+        fill(targets[i], update.changes_[i]);
+    }
+    if (update.release_)
+    {
+        fill(builder.initRelease(), *update.release_);
+    }
+    return to_frame(message);
+}
+
+std::size_t frame_length(std::string_view header)
+{
+    std::size_t length = 0;
+    for (unsigned i = 0; i < frame_header_bytes; ++i)
+    {
+        length |= static_cast<std::size_t>(
+                      static_cast<unsigned char>(header[i]))
+                  << (i * bits_per_byte);
+    }
+    return length;
+}
+
+absl::StatusOr<mirror_position> read_subscription(std::string_view bytes)
+{
+    return read_message<mirror_position>(
+        bytes,
+        [](capnp::MessageReader& message)
+        {
+            const auto reader = message.getRoot<wire::Subscription>();
+            mirror_position position;
+            position.epoch_ = reader.getEpoch();
+            position.sequence_ = reader.getSequence();
+            position.release_version_ = reader.getReleaseVersion();
+            return position;
+        });
+}
+
+absl::StatusOr<registry_update> read_update(std::string_view bytes,
+                                            const service_spec& defaults)
+{
+    return read_message<registry_update>(
+        bytes,
+        [&defaults](capnp::MessageReader& message)
+        {
+            const auto reader = message.getRoot<wire::Update>();
+            registry_update update;
+            update.epoch_ = reader.getEpoch();
+            update.sequence_ = reader.getSequence();
+            update.whole_ = reader.getWhole();
+            update.failure_domain_ = to_string(reader.getFailureDomain());
+            update.store_revision_ = reader.getStoreRevision();
+            update.store_silent_ = milliseconds(reader.getStoreSilentMs());
+            for (const auto target : reader.getTargets())
+            {
+                update.changes_.push_back(read_change(target));
+            }
+            if (reader.hasRelease())
+            {
+                update.release_ = std::make_shared<const release>(
+                    read_release(reader.getRelease(), defaults));
+            }
+            return update;
+        });
+}
+
+} // namespace anvilturn
--- a/modules/av_registry/av_registry.hpp
+++ b/modules/av_registry/av_registry.hpp
@@ -8,5 +8,6 @@
 
 #include <av_registry/listed_object.hpp>
 #include <av_registry/target_registry.hpp>
+#include <av_registry/watcher_choice.hpp>
 
 #endif
