Keep a watcher that lost the store from bringing back targets that left

VMs also left a good watcher each second for the nearer one that was cut. The watcher itself came back in step 2 s after the cut had healed, since signs of life timed out after 1 s and were 1 s apart. Change: entries that lapse are marked; who does not have them leaves them. Trust in a watcher that failed comes back ever more slowly.

--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -24,16 +24,17 @@
 
 namespace asio = boost::asio;
 
-// How often the store is asked for a sign of life. Others rely on a watcher's
-// word, which must not be older than longest_store_silence.
-constexpr milliseconds watcher_check_period{400.0};
-constexpr milliseconds other_check_period{1500.0};
+// Others rely on a watcher's word, which must not be older than
+// longest_store_silence, and a watcher has nobody else to hear of changes from.
+constexpr store_pace watcher_pace{
+    milliseconds(400.0), milliseconds(300.0), milliseconds(0.0)};
+// After an outage the watchers are back in step within the delay.
+constexpr store_pace usual_pace{
+    milliseconds(1500.0), milliseconds(1000.0), milliseconds(1200.0)};
 // Time without a watcher after which a VM follows the store itself; at the
 // start the watchers start too.
 constexpr milliseconds patience_at_start{1500.0};
 constexpr milliseconds patience{300.0};
-// Within it the watchers are back in step.
-constexpr milliseconds patience_after_outage{1200.0};
 // How often a VM that hears no watcher looks for one.
 constexpr milliseconds search_period{500.0};
 
@@ -58,8 +59,7 @@
         , store_(context,
                  std::move(calls),
                  observer(),
-                 watchers_.empty() ? watcher_check_period : other_check_period,
-                 watchers_.empty() ? milliseconds(0.0) : patience_after_outage)
+                 watchers_.empty() ? watcher_pace : usual_pace)
         , server_(context,
                   options_.failure_domain_,
                   [this]
@@ -288,7 +288,6 @@
         {
             return false;
         }
-        watcher.failed_at_.reset();
         const auto now = monotonic_now();
         if (has_better_watcher(
                 watchers_, *watcher_, options_.failure_domain_, now))
@@ -321,7 +320,8 @@
         position_.release_version_ = state_.version_;
         if (update.whole_)
         {
-            take_whole(update, now);
+            take_whole(registry_, update.changes_);
+            take_targets(update.store_revision_);
         }
         else if (!update.changes_.empty())
         {
@@ -331,19 +331,6 @@
         revision_ = std::max(revision_, update.store_revision_);
     }
 
-    void take_whole(const registry_update& update, milliseconds now)
-    {
-        std::vector<listed_target> objects;
-        for (const auto& change : update.changes_)
-        {
-            objects.push_back(change.object_);
-        }
-        // The watcher has waited for entries that lapsed.
-        registry_.recovered_at_.reset();
-        take_listing(registry_, objects, now);
-        take_targets(update.store_revision_);
-    }
-
     void lose_watcher(const std::string& reason)
     {
         auto& watcher = watchers_[*watcher_];
@@ -352,7 +339,7 @@
             watchers_, *watcher_, options_.failure_domain_, now);
         if (!for_better)
         {
-            watcher.failed_at_ = now;
+            note_failure(watcher, now);
         }
         if (std::exchange(told_, false))
         {
--- a/modules/av_feed/store_adapter.hpp
+++ b/modules/av_feed/store_adapter.hpp
@@ -35,8 +35,11 @@
     collection_source<release> releases_;
     std::string release_name_;
     collection_source<target_spec> targets_;
-    // Asks for an answer of any kind, to find out whether the store answers.
-    std::function<void(std::function<void(absl::Status)> done)> check_;
+    // Asks for an answer of any kind within the timeout, to find out whether
+    // the store answers.
+    std::function<void(milliseconds timeout,
+                       std::function<void(absl::Status)> done)>
+        check_;
     std::function<store_call_counts()> counts_;
 };
 
--- a/modules/av_feed/store_session.cpp
+++ b/modules/av_feed/store_session.cpp
@@ -23,12 +23,10 @@
     implementation(asio::io_context& context,
                    store_calls calls,
                    store_observer observer,
-                   milliseconds check_period,
-                   milliseconds follow_delay)
+                   const store_pace& pace)
         : calls_(std::move(calls))
         , observer_(std::move(observer))
-        , check_period_(check_period)
-        , follow_delay_(follow_delay)
+        , pace_(pace)
         , random_(std::random_device()())
         , timer_(context)
         , releases_(context, "releases", calls_.releases_, release_observer())
@@ -151,7 +149,7 @@
     {
         releases_.start();
         targets_.start();
-        check_after(check_period_);
+        check_after(pace_.check_period_);
     }
 
     void take_answer()
@@ -184,7 +182,7 @@
                 .write();
         }
         std::uniform_real_distribution<double> random(0.0, 1.0);
-        check_after(retry_pause(failures_, random(random_)));
+        check_after(retry_pause(failures_, pace_.longest_pause_, random(random_)));
     }
 
     void check_after(milliseconds pause)
@@ -204,6 +202,7 @@
     void check()
     {
         calls_.check_(
+            check_timeout(failures_),
             [this, generation = generation_](const absl::Status& status)
             {
                 if (generation == generation_)
@@ -223,7 +222,7 @@
         answered_at_ = monotonic_now();
         if (!lost_)
         {
-            check_after(check_period_);
+            check_after(pace_.check_period_);
             return;
         }
         if (failures_ == 0)
@@ -239,7 +238,7 @@
     void follow_later()
     {
         const auto generation = ++generation_;
-        timer_.expires_after(to_duration(follow_delay_));
+        timer_.expires_after(to_duration(pace_.follow_delay_));
         timer_.async_wait(
             [this, generation](const boost::system::error_code& error)
             {
@@ -252,8 +251,7 @@
 
     store_calls calls_;
     store_observer observer_;
-    const milliseconds check_period_;
-    const milliseconds follow_delay_;
+    const store_pace pace_;
     std::minstd_rand random_;
     asio::steady_timer timer_;
     collection_feed<release> releases_;
@@ -268,13 +266,9 @@
 store_session::store_session(asio::io_context& context,
                              store_calls calls,
                              store_observer observer,
-                             milliseconds check_period,
-                             milliseconds follow_delay)
-    : implementation_(std::make_unique<implementation>(context,
-                                                       std::move(calls),
-                                                       std::move(observer),
-                                                       check_period,
-                                                       follow_delay))
+                             const store_pace& pace)
+    : implementation_(std::make_unique<implementation>(
+          context, std::move(calls), std::move(observer), pace))
 {
 }
 
--- a/modules/av_feed/store_session.hpp
+++ b/modules/av_feed/store_session.hpp
@@ -25,20 +25,27 @@
     std::function<void()> on_recovery_;
 };
 
+// How often a session calls the store.
+struct store_pace
+{
+    // Between two signs of life while nothing changes.
+    milliseconds check_period_;
+    // The longest pause between two while the store does not answer.
+    milliseconds longest_pause_;
+    // From the end of an outage until the collections are listed.
+    milliseconds follow_delay_;
+};
+
 // Follows the store's collections while it is wanted. When a call fails it
 // asks for a sign of life, by the cheapest call and ever more rarely, before
 // it lists the collections again. All runs on the thread of the io_context.
 class store_session
 {
 public:
-    // The period is how often a store that nothing is heard from is asked for
-    // a sign of life; the delay is how long after an outage the collections
-    // are listed.
     store_session(boost::asio::io_context& context,
                   store_calls calls,
                   store_observer observer,
-                  milliseconds check_period,
-                  milliseconds follow_delay);
+                  const store_pace& pace);
     ~store_session();
     store_session(const store_session&) = delete;
     store_session& operator=(const store_session&) = delete;
--- a/modules/av_mirror/mirror.capnp
+++ b/modules/av_mirror/mirror.capnp
@@ -25,6 +25,8 @@
   slots @6 :Int32;
   draining @7 :Bool;
   incarnation @8 :Int64;
+  # Gone from the store, but may come back.
+  lapsing @9 :Bool;
 }
 
 struct ServicePart {
--- a/modules/av_mirror/mirror.capnp.h
+++ b/modules/av_mirror/mirror.capnp.h
@@ -262,6 +262,8 @@
 
   inline  ::int64_t getIncarnation() const;
 
+  inline bool getLapsing() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -333,6 +335,9 @@
   inline  ::int64_t getIncarnation();
   inline void setIncarnation( ::int64_t value);
 
+  inline bool getLapsing();
+  inline void setLapsing(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1155,6 +1160,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RegisteredTarget::Reader::getLapsing() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+
+inline bool RegisteredTarget::Builder::getLapsing() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+inline void RegisteredTarget::Builder::setLapsing(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServicePart::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/modules/av_mirror/update_codec.cpp
+++ b/modules/av_mirror/update_codec.cpp
@@ -56,6 +56,7 @@
     builder.setName(to_text(change.object_.name_));
     builder.setRevision(change.object_.revision_);
     builder.setRemoved(change.removed_);
+    builder.setLapsing(change.lapsing_);
     if (change.removed_ || !change.object_.value_)
     {
         return;
@@ -75,6 +76,7 @@
     change.object_.name_ = to_string(reader.getName());
     change.object_.revision_ = reader.getRevision();
     change.removed_ = reader.getRemoved();
+    change.lapsing_ = reader.getLapsing();
     target_spec spec;
     spec.name_ = change.object_.name_;
     spec.service_ = to_string(reader.getService());
--- a/modules/av_registry/listed_object.hpp
+++ b/modules/av_registry/listed_object.hpp
@@ -40,6 +40,9 @@
 {
     listed_object<Value> object_;
     bool removed_ = false;
+    // The object is gone but may come back: who has it keeps it for now, who
+    // does not have it leaves it.
+    bool lapsing_ = false;
 };
 
 // What has changed in a collection.
--- a/modules/av_registry/target_registry.cpp
+++ b/modules/av_registry/target_registry.cpp
@@ -85,6 +85,10 @@
 {
     for (const auto& change : changes)
     {
+        if (change.lapsing_)
+        {
+            continue;
+        }
         if (!change.removed_)
         {
             take_object(registry, change.object_);
@@ -99,6 +103,27 @@
     }
 }
 
+void take_whole(target_registry& registry,
+                const std::vector<target_change>& changes)
+{
+    std::set<std::string> named;
+    for (const auto& change : changes)
+    {
+        named.insert(change.object_.name_);
+        if (!change.lapsing_)
+        {
+            take_object(registry, change.object_);
+        }
+    }
+    for (auto entry = registry.entries_.begin();
+         entry != registry.entries_.end();)
+    {
+        entry = named.count(entry->first) != 0
+                    ? std::next(entry)
+                    : registry.entries_.erase(entry);
+    }
+}
+
 void drop_lapsed(target_registry& registry, milliseconds now)
 {
     for (auto entry = registry.entries_.begin();
--- a/modules/av_registry/target_registry.hpp
+++ b/modules/av_registry/target_registry.hpp
@@ -52,6 +52,11 @@
                   const std::vector<target_change>& changes,
                   milliseconds now);
 
+// Takes all entries as another VM holds them, which has waited for those that
+// lapsed. Entries that lapse there are kept here, but not taken up.
+void take_whole(target_registry& registry,
+                const std::vector<target_change>& changes);
+
 // Drops the entries that did not come back in time.
 void drop_lapsed(target_registry& registry, milliseconds now);
 
--- a/modules/av_registry/watcher_choice.hpp
+++ b/modules/av_registry/watcher_choice.hpp
@@ -18,13 +18,17 @@
     std::string address_;
     // Unknown before it was heard.
     std::optional<std::string> failure_domain_;
-    // When it last failed; nothing if it did not since it was heard.
+    // When it last failed, if ever, and how often it has.
     std::optional<milliseconds> failed_at_;
+    int failures_ = 0;
 };
 
 // Time after a failure in which a watcher is not asked again.
 constexpr milliseconds watcher_pause{1000.0};
 
+// Records that the watcher could not be reached or was not in step.
+void note_failure(watcher_record& watcher, milliseconds now);
+
 // Returns a record for each of the addresses, or none if the own address is
 // among them: such a VM watches the store itself.
 std::vector<watcher_record>
@@ -40,8 +44,8 @@
                std::size_t random,
                milliseconds now);
 
-// Returns whether another watcher would be asked rather than this one, which
-// was heard.
+// Returns whether a nearer watcher should be asked rather than this one, which
+// was heard. One that has failed is given ever more time before it is.
 bool has_better_watcher(const std::vector<watcher_record>& watchers,
                         std::size_t current,
                         const std::string& own_domain,
