Bound the log; hold answers only where the settings say; keep to warm targets

Cause: logs could block on a full pipe and had no bound; answers that were held whole broke the streaming that the project's own tests promise; at 195 VMs each call opened a connection, since a VM met each target once in nine seconds; subscribers that found a watcher before it had a release never got one until they lost it (edge-kl-a-5 was not ready for two seconds). Change: log_budget and a sink that drops rather than waits; request_path setting held_answer; idle connections count in the order in which targets are asked; a watcher tells nothing until it has release and targets.

--- a/modules/av_core/log_event.cpp
+++ b/modules/av_core/log_event.cpp
@@ -1,12 +1,17 @@
 #include <av_core/log_event.hpp>
 
+#include <av_core/log_budget.hpp>
 #include <av_core/monotonic_clock.hpp>
 
 #include <easylogging++.h>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <atomic>
 #include <cstdio>
+#include <mutex>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -16,6 +21,67 @@
 {
 
 std::atomic<log_level> lowest_level{log_level::info};
+std::atomic<std::uint64_t> lines_left_out{0};
+
+std::mutex budget_mutex;
+log_budget budget;
+
+// Returns whether a line fits into the pipe without waiting for its reader.
+bool takes_output(int descriptor)
+{
+    pollfd waiting{descriptor, POLLOUT, 0};
+    return ::poll(&waiting, 1, 0) > 0 && (waiting.revents & POLLOUT) != 0;
+}
+
+// Writes lines to standard output; a reader that does not keep up costs lines
+// rather than time.
+class standard_output_sink : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData* data) noexcept override
+    {
+        const auto* const message = data->logMessage();
+        const auto line = message->logger()->logBuilder()->build(message, true);
+        const bool written =
+            takes_output(STDOUT_FILENO) &&
+            ::write(STDOUT_FILENO, line.data(), line.size()) >= 0;
+        if (!written)
+        {
+            lines_left_out.fetch_add(1, std::memory_order_relaxed);
+        }
+    }
+};
+
+void log_line(std::string_view level, std::string_view text)
+{
+    char buffer[32];
+    const int size = std::snprintf(
+        buffer, sizeof buffer, "%.3f", wall_clock_now().count());
+    std::string line = "time_ms=";
+    line.append(buffer, static_cast<std::size_t>(size));
+    line.append(" level=").append(level);
+    line.append(" ").append(text);
+    LOG(INFO) << line;
+}
+
+// Returns whether the line may be written, and tells what was left out before.
+bool admit(std::string_view event, bool urgent)
+{
+    const std::lock_guard<std::mutex> lock(budget_mutex);
+    const auto now = monotonic_now();
+    const bool admitted = admit_line(budget, event, urgent, now);
+    if (!admitted)
+    {
+        lines_left_out.fetch_add(1, std::memory_order_relaxed);
+    }
+    if (const auto left_out = take_left_out(budget, now))
+    {
+        log_line("warning",
+                 "event=log_lines_left_out left_out_event=" + left_out->first +
+                     " count=" + std::to_string(left_out->second));
+    }
+    return admitted;
+}
 
 std::string_view level_name(log_level level)
 {
@@ -78,6 +144,7 @@
 
 log_event::log_event(log_level level, std::string_view event)
     : level_(level)
+    , event_(event)
 {
     field("event", event);
 }
@@ -145,18 +212,15 @@
 
 void log_event::write() const
 {
-    if (!is_logged(level_))
+    if (is_logged(level_) && admit(event_, level_ >= log_level::warning))
     {
-        return;
+        log_line(level_name(level_), text_);
     }
-    char buffer[32];
-    std::string line = "time_ms=";
-    line += format_double(wall_clock_now().count(), buffer);
-    line += " level=";
-    line += level_name(level_);
-    line += ' ';
-    line += text_;
-    LOG(INFO) << line;
+}
+
+std::uint64_t log_lines_left_out() noexcept
+{
+    return lines_left_out.load(std::memory_order_relaxed);
 }
 
 void configure_logging(log_level lowest, std::string_view process_name)
@@ -171,6 +235,10 @@
     configuration.setGlobally(el::ConfigurationType::Format,
                               "process=" + name + " %msg");
     el::Loggers::reconfigureAllLoggers(configuration);
+    el::Helpers::uninstallLogDispatchCallback<
+        el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<standard_output_sink>(
+        "standard_output");
 }
 
 bool is_logged(log_level level) noexcept
--- a/modules/av_core/log_event.hpp
+++ b/modules/av_core/log_event.hpp
@@ -18,8 +18,9 @@
     error
 };
 
-// Builds one log line of key=value pairs. The line goes to standard error when
-// write is called: VMs have no disks. Values that hold spaces, quotes or
+// Builds one log line of key=value pairs. The line goes to standard output when
+// write is called: VMs have no disks. Writing never blocks, and the lines of a
+// process are bounded, see log_budget; what is left out is counted. Values that hold spaces, quotes or
 // control characters are quoted and escaped, so that a line stays one line.
 class log_event
 {
@@ -43,9 +44,13 @@
 
 private:
     log_level level_;
+    std::string event_;
     std::string text_;
 };
 
+// Returns how many lines were left out since the start.
+std::uint64_t log_lines_left_out() noexcept;
+
 // Sets the lowest level that is written, and the name of this process that
 // stands in each line. Call it once at the start of a program.
 void configure_logging(log_level lowest, std::string_view process_name);
--- a/modules/av_daemon/metrics_page.cpp
+++ b/modules/av_daemon/metrics_page.cpp
@@ -1,6 +1,7 @@
 #include <av_daemon/metrics_page.hpp>
 
 #include <av_core/error.hpp>
+#include <av_core/log_event.hpp>
 
 #include <string>
 #include <utility>
@@ -170,6 +171,54 @@
                  platform.failures_);
 }
 
+void collect_registry(sample_list& list, const daemon_state& state)
+{
+    if (!state.registry_)
+    {
+        return;
+    }
+    const auto& registry = *state.registry_;
+    const auto age = [&state](milliseconds point)
+    {
+        return (state.control_.now_ - point).count();
+    };
+    list.gauge("store_answered_ago_milliseconds",
+               "Time since the store last answered this VM or its watcher.",
+               {},
+               age(registry.answered_at_));
+    list.gauge("release_age_milliseconds",
+               "Time since the release in force was taken up.",
+               {},
+               age(registry.release_at_));
+    list.gauge("targets_registered",
+               "Targets that are registered, draining ones included.",
+               {},
+               registry.targets_);
+    list.gauge("watcher_in_use",
+               "1 if a watcher tells this VM what the store holds.",
+               {},
+               registry.watcher_.empty() ? 0 : 1);
+    list.gauge("watcher_subscribers",
+               "VMs that this one tells what the store holds.",
+               {},
+               registry.subscribers_);
+    list.counter("watcher_losses_total",
+                 "Watchers that this VM gave up on.",
+                 {},
+                 registry.watcher_losses_);
+    constexpr auto calls = "store_calls_total";
+    constexpr auto calls_help = "Calls to the platform's store by kind.";
+    list.counter(calls, calls_help, {{"kind", "list"}}, registry.calls_.lists_);
+    list.counter(
+        calls, calls_help, {{"kind", "watch"}}, registry.calls_.watches_);
+    list.counter(
+        calls, calls_help, {{"kind", "check"}}, registry.calls_.checks_);
+    list.counter("store_failures_total",
+                 "Calls to the store that failed.",
+                 {},
+                 registry.calls_.failures_);
+}
+
 void collect_process(sample_list& list, const daemon_state& state)
 {
     constexpr auto name = "cpu_seconds_total";
@@ -188,6 +237,10 @@
                "Resident memory of the process.",
                {},
                state.resident_bytes_);
+    list.counter("log_lines_left_out_total",
+                 "Log lines that were left out to bound their volume.",
+                 {},
+                 log_lines_left_out());
     list.gauge("ready",
                "1 if the balancer may send callers here.",
                {},
@@ -203,6 +256,7 @@
     collect_latency(list, state.latency_);
     collect_targets(list, state.requests_);
     collect_control(list, state.control_);
+    collect_registry(list, state);
     collect_process(list, state);
     return list.take();
 }
--- a/modules/av_daemon/state_dump.cpp
+++ b/modules/av_daemon/state_dump.cpp
@@ -152,6 +152,29 @@
     out << YAML::EndMap;
 }
 
+void emit_registry(YAML::Emitter& out, const daemon_state& state)
+{
+    if (!state.registry_)
+    {
+        return;
+    }
+    const auto& registry = *state.registry_;
+    const auto now = state.control_.now_;
+    begin_map(out, "registry");
+    put(out, "watcher", registry.watcher_);
+    put(out, "store_answered_ago_ms", age_of(registry.answered_at_, now));
+    put(out, "release_ago_ms", age_of(registry.release_at_, now));
+    put(out, "targets_ago_ms", age_of(registry.targets_at_, now));
+    put(out, "targets", registry.targets_);
+    put(out, "subscribers", registry.subscribers_);
+    put(out, "watcher_losses", registry.watcher_losses_);
+    put(out, "store_lists", registry.calls_.lists_);
+    put(out, "store_watches", registry.calls_.watches_);
+    put(out, "store_checks", registry.calls_.checks_);
+    put(out, "store_failures", registry.calls_.failures_);
+    out << YAML::EndMap;
+}
+
 void emit_calls(YAML::Emitter& out, const daemon_state& state)
 {
     const auto& requests = state.requests_;
@@ -264,6 +287,7 @@
             emit_targets(out, state);
             emit_members(out, state);
             emit_control(out, state.control_);
+            emit_registry(out, state);
         });
 }
 
--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -276,12 +276,12 @@
     bool take_update(const registry_update& update)
     {
         auto& watcher = watchers_[*watcher_];
-        watcher.failure_domain_ = update.failure_domain_;
-        const bool is_starting = update.store_revision_ == 0 && !told_;
+        const bool is_starting = update.epoch_ == 0;
         if (is_starting)
         {
-            return true;
+            return !told_;
         }
+        watcher.failure_domain_ = update.failure_domain_;
         const bool is_stale = update.store_silent_ > longest_store_silence ||
                               update.store_revision_ < revision_;
         if (is_stale)
--- a/modules/av_mirror/mirror.capnp
+++ b/modules/av_mirror/mirror.capnp
@@ -45,6 +45,7 @@
   timeoutMs @7 :Float64;
   objectiveMs @8 :Float64;
   mostAttempts @9 :Int32;
+  plainPrefix @10 :Bool;
 }
 
 struct Service {
--- a/modules/av_mirror/mirror.capnp.h
+++ b/modules/av_mirror/mirror.capnp.h
@@ -492,6 +492,8 @@
 
   inline  ::int32_t getMostAttempts() const;
 
+  inline bool getPlainPrefix() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -570,6 +572,9 @@
   inline  ::int32_t getMostAttempts();
   inline void setMostAttempts( ::int32_t value);
 
+  inline bool getPlainPrefix();
+  inline void setPlainPrefix(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1462,6 +1467,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Rule::Reader::getPlainPrefix() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline bool Rule::Builder::getPlainPrefix() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Rule::Builder::setPlainPrefix(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Service::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/modules/av_mirror/mirror_server.cpp
+++ b/modules/av_mirror/mirror_server.cpp
@@ -15,6 +15,7 @@
 
 #include <array>
 #include <deque>
+#include <optional>
 #include <random>
 #include <set>
 #include <sstream>
@@ -162,9 +163,23 @@
                 });
         }
 
-        bool is_subscribed() const
+        // Tells what is new since the position at which all who were told
+        // stand. One that was not told yet is told all that it lacks, once the
+        // watcher has everything; until then it learns that the watcher lives.
+        void tell(const shared_frame& news)
         {
-            return subscribed_;
+            if (!position_)
+            {
+                return;
+            }
+            if (told_)
+            {
+                send(news);
+                return;
+            }
+            told_ = owner_.is_in_step();
+            send(told_ ? owner_.frame_since(*position_)
+                       : owner_.starting_frame());
         }
 
         void send(const shared_frame& frame)
@@ -216,8 +231,8 @@
                 owner_.drop(shared_from_this());
                 return;
             }
-            subscribed_ = true;
-            send(owner_.frame_since(*position));
+            position_ = *position;
+            tell(nullptr);
             watch_for_close();
         }
 
@@ -262,7 +277,9 @@
         std::array<char, frame_header_bytes> header_{};
         std::string body_;
         std::deque<shared_frame> frames_;
-        bool subscribed_ = false;
+        // Where the subscriber stood when it subscribed.
+        std::optional<mirror_position> position_;
+        bool told_ = false;
     };
 
     void accept()
@@ -307,6 +324,18 @@
         return std::make_shared<const std::string>(write_update(update));
     }
 
+    // Whether there is a release and a list of targets to tell.
+    bool is_in_step() const
+    {
+        return log_.release_ && log_.store_revision_ > 0;
+    }
+
+    static shared_frame starting_frame()
+    {
+        return std::make_shared<const std::string>(
+            write_update(registry_update()));
+    }
+
     // All subscribers stand at the same position once they were told first.
     void tell(const mirror_position& since)
     {
@@ -318,10 +347,7 @@
         const auto sessions = sessions_;
         for (const auto& session : sessions)
         {
-            if (session->is_subscribed())
-            {
-                session->send(frame);
-            }
+            session->tell(frame);
         }
     }
 
--- a/modules/av_mirror/registry_update.hpp
+++ b/modules/av_mirror/registry_update.hpp
@@ -25,6 +25,7 @@
 // What a watcher tells.
 struct registry_update
 {
+    // Zero from a watcher that has nothing to tell yet.
     std::uint64_t epoch_ = 0;
     std::uint64_t sequence_ = 0;
     // The changes name all targets that there are.
--- a/modules/av_mirror/update_codec.cpp
+++ b/modules/av_mirror/update_codec.cpp
@@ -94,6 +94,7 @@
     builder.setName(to_text(rule.name_));
     builder.setHost(to_text(rule.host_));
     builder.setPathPrefix(to_text(rule.path_prefix_));
+    builder.setPlainPrefix(rule.plain_prefix_);
     builder.setService(to_text(rule.service_));
     builder.setTrafficClass(static_cast<std::uint8_t>(rule.class_));
     builder.setIdempotent(rule.idempotent_);
@@ -117,6 +118,7 @@
     rule.name_ = to_string(reader.getName());
     rule.host_ = to_string(reader.getHost());
     rule.path_prefix_ = to_string(reader.getPathPrefix());
+    rule.plain_prefix_ = reader.getPlainPrefix();
     rule.service_ = to_string(reader.getService());
     rule.class_ = static_cast<traffic_class>(
         std::min(reader.getTrafficClass(), lowest_class));
--- a/modules/av_model/rule_spec.hpp
+++ b/modules/av_model/rule_spec.hpp
@@ -26,6 +26,8 @@
     std::string host_;
     // Matches whole path segments: "/kits" matches "/kits" and "/kits/4".
     std::string path_prefix_ = "/";
+    // Whether the prefix is compared byte by byte rather than by whole segments.
+    bool plain_prefix_ = false;
     // Empty matches every method.
     std::vector<std::string> methods_;
     // With a header name set, the header must have exactly this value.
@@ -53,6 +55,7 @@
         return std::tie(name_,
                         host_,
                         path_prefix_,
+                        plain_prefix_,
                         methods_,
                         header_name_,
                         header_value_,
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -22,8 +22,9 @@
 // Attempts that were refused count here too.
 constexpr int most_attempts_in_all = 8;
 constexpr int first_failed_status = 500;
-constexpr int bad_request_status = 400;
+constexpr int first_error_status = 400;
 constexpr int misdirected_status = 421;
+constexpr int too_many_status = 429;
 constexpr int busy_status = 503;
 constexpr std::string_view own_path_prefix = "/.anvilturn/";
 constexpr std::string_view ready_path = "/.anvilturn/ready";
@@ -378,7 +379,7 @@
     {
         answer_output().append(bytes);
     }
-    if (held_answer_.size() > worker_.core().settings_.held_body_bytes_)
+    if (held_answer_.size() > worker_.core().settings_.held_answer_bytes_)
     {
         release_answer();
     }
@@ -689,7 +690,9 @@
         end_attempt(error_kind::target_moved, true);
         return true;
     }
-    if (!head.not_run_ || head.status_ <= bad_request_status)
+    const bool says_busy =
+        head.status_ == busy_status || head.status_ == too_many_status;
+    if (!head.not_run_ || !says_busy)
     {
         return false;
     }
@@ -740,7 +743,7 @@
 {
     const bool unsigned_success =
         !worker_.core().settings_.dialect_.signature_.empty() &&
-        !head.signed_ && head.status_ < bad_request_status;
+        !head.signed_ && head.status_ < first_error_status;
     if (unsigned_success)
     {
         end_attempt(error_kind::target_answer_malformed, false);
@@ -773,7 +776,11 @@
 
 void proxied_call::relay_head(const answer_head& head)
 {
-    holds_answer_ = true;
+    holds_answer_ = worker_.core().settings_.held_answer_bytes_ > 0;
+    if (!holds_answer_)
+    {
+        life_.record_answer_started();
+    }
     // Another VM's outcomes speak of targets rather than of that VM.
     answer_failed_ = !to_vm_ && head.status_ >= first_failed_status;
     keep_alive_ = head_->keep_alive_ && request_complete_ &&
--- a/modules/av_proxy/rule_matcher.cpp
+++ b/modules/av_proxy/rule_matcher.cpp
@@ -8,6 +8,15 @@
 namespace
 {
 
+std::string_view without_last_slash(std::string_view prefix)
+{
+    if (!prefix.empty() && prefix.back() == '/')
+    {
+        prefix.remove_suffix(1);
+    }
+    return prefix;
+}
+
 int condition_count(const rule_spec& rule)
 {
     return (rule.host_.empty() ? 0 : 1) + (rule.methods_.empty() ? 0 : 1) +
@@ -16,7 +25,9 @@
 
 std::size_t prefix_length(const rule_spec& rule)
 {
-    return rule.path_prefix_.size();
+    const std::string_view prefix = rule.path_prefix_;
+    return rule.plain_prefix_ ? prefix.size()
+                              : without_last_slash(prefix).size();
 }
 
 bool is_tried_before(const rule_spec& a, const rule_spec& b)
@@ -32,7 +43,11 @@
              const request_head& head,
              std::string_view path)
 {
-    if (!covers_path(rule.path_prefix_, path))
+    const std::string_view prefix = rule.path_prefix_;
+    const bool covered = rule.plain_prefix_
+                             ? path.substr(0, prefix.size()) == prefix
+                             : covers_path(prefix, path);
+    if (!covered)
     {
         return false;
     }
@@ -100,12 +115,12 @@
 
 bool covers_path(std::string_view prefix, std::string_view path)
 {
+    prefix = without_last_slash(prefix);
     if (path.substr(0, prefix.size()) != prefix)
     {
         return false;
     }
-    return path.size() == prefix.size() || path[prefix.size()] == '/' ||
-           (!prefix.empty() && prefix.back() == '/');
+    return path.size() == prefix.size() || path[prefix.size()] == '/';
 }
 
 } // namespace anvilturn
--- a/modules/av_proxy/rule_matcher.hpp
+++ b/modules/av_proxy/rule_matcher.hpp
@@ -31,9 +31,7 @@
     absl::flat_hash_map<std::string, std::vector<rule_spec>> rules_;
 };
 
-// Returns whether the rule's prefix covers the path: a prefix that ends with a
-// slash covers the paths that begin with it, another one covers whole
-// segments.
+// Returns whether the rule's prefix covers the path by whole segments.
 bool covers_path(std::string_view prefix, std::string_view path);
 
 } // namespace anvilturn
--- a/modules/av_proxy/worker.cpp
+++ b/modules/av_proxy/worker.cpp
@@ -599,6 +599,7 @@
         view.same_domain_ = target.same_domain_;
         view.own_limit_ = limit_for(service, target);
         view.best_concurrency_ = best;
+        view.has_connection_ = has_idle_connection(target);
         views_.push_back(view);
     }
     exclude_outliers(views_, service.targets_, moment.now_);
@@ -610,6 +611,12 @@
                                           }));
 }
 
+bool worker::has_idle_connection(const target_entry& target) const
+{
+    const auto pool = pools_.find(target.state_.get());
+    return pool != pools_.end() && !pool->second->idle_.empty();
+}
+
 // Calls of the service that wait at this VM, this one included.
 std::size_t worker::waiting_with(const service_entry& service,
                                  const proxied_call* call) const
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -134,6 +134,7 @@
     };
 
     std::vector<service_lane*> lanes();
+    bool has_idle_connection(const target_entry& target) const;
     std::size_t waiting_with(const service_entry& service,
                              const proxied_call* call) const;
     void check_stragglers();
--- a/modules/av_routing/ask_first_policy.cpp
+++ b/modules/av_routing/ask_first_policy.cpp
@@ -32,6 +32,9 @@
 constexpr double busy_weight = 0.3;
 // Cost of a target whose health check failed, which may be a false alarm.
 constexpr double unhealthy_cost = 3.0;
+// Cost of a new connection in the order in which targets are asked. It lets a VM
+// with few calls keep to some targets, and others now and then.
+constexpr double connection_cost = 0.45;
 // Width of the random part of the order in which targets are asked.
 constexpr double order_noise = 0.6;
 
@@ -180,8 +183,10 @@
         const double busy =
             estimated_load(target, usual) / effective_slots(target);
         const double alarm = target.says_unhealthy_ ? unhealthy_cost : 0.0;
-        result.push_back(
-            {index, busy + alarm + order_noise * unit_interval(bits)});
+        const double connect = target.has_connection_ ? 0.0 : connection_cost;
+        result.push_back({index,
+                          busy + alarm + connect +
+                              order_noise * unit_interval(bits)});
     }
     std::sort(result.begin(),
               result.end(),
--- a/modules/av_routing/target_view.hpp
+++ b/modules/av_routing/target_view.hpp
@@ -27,6 +27,8 @@
     milliseconds report_age_{0.0};
     // How many times longer than usual work took there by that report.
     double reported_slowdown_ = 1.0;
+    // Whether this VM has an idle connection to it.
+    bool has_connection_ = false;
     // Whether the target's last health check failed.
     bool says_unhealthy_ = false;
     // Calls of this VM that were at the target when that report was written.
--- a/modules/av_settings/settings_fields.cpp
+++ b/modules/av_settings/settings_fields.cpp
@@ -228,6 +228,13 @@
                       0,
                       1024 * mebibyte,
                       "bytes of a request's body; 413 beyond"),
+        integer_field("held_answer",
+                      &section::held_answer_,
+                      0,
+                      mebibyte,
+                      "bytes of an answer that are held until it is whole, so "
+                      "that another target can give it; 0 passes it on at "
+                      "once"),
         timeout_field("idle_timeout_ms",
                       &section::idle_timeout_,
                       "a caller's connection without a call is closed then"),
--- a/modules/av_settings/settings_sections.hpp
+++ b/modules/av_settings/settings_sections.hpp
@@ -115,6 +115,8 @@
     // Of a request or of an answer.
     std::uint64_t header_limit_ = 16'384;
     std::uint64_t request_body_limit_ = 1'048'576;
+    // Of an answer, held until it is whole.
+    std::uint64_t held_answer_ = 0;
     // For a caller's connection between two calls.
     milliseconds idle_timeout_{60000.0};
     // For a whole request header, and the longest pause within a body.
@@ -129,6 +131,7 @@
                         connection_limit_,
                         header_limit_,
                         request_body_limit_,
+                        held_answer_,
                         idle_timeout_,
                         request_timeout_,
                         connect_timeout_);
