--- a/modules/av_core/log_budget.cpp
+++ b/modules/av_core/log_budget.cpp
@@ -17,9 +17,8 @@
                 bool urgent,
                 milliseconds now)
 {
-    const double earned =
-        std::max(0.0, (now - budget.filled_at_).count()) *
-        log_lines_per_second / milliseconds_per_second;
+    const double earned = std::max(0.0, (now - budget.filled_at_).count()) *
+                          log_lines_per_second / milliseconds_per_second;
     budget.filled_at_ = now;
     budget.routine_tokens_ =
         std::min(log_line_burst, budget.routine_tokens_ + earned);
@@ -49,8 +48,7 @@
 std::optional<std::pair<std::string, std::uint64_t>>
 take_left_out(log_budget& budget, milliseconds now)
 {
-    if (budget.left_out_.empty() ||
-        now - budget.reported_at_ < report_period)
+    if (budget.left_out_.empty() || now - budget.reported_at_ < report_period)
     {
         return std::nullopt;
     }
--- a/modules/av_core/log_event.cpp
+++ b/modules/av_core/log_event.cpp
@@ -55,8 +55,8 @@
 void log_line(std::string_view level, std::string_view text)
 {
     char buffer[32];
-    const int size = std::snprintf(
-        buffer, sizeof buffer, "%.3f", wall_clock_now().count());
+    const int size =
+        std::snprintf(buffer, sizeof buffer, "%.3f", wall_clock_now().count());
     std::string line = "time_ms=";
     line.append(buffer, static_cast<std::size_t>(size));
     line.append(" level=").append(level);
--- a/modules/av_core/log_event.hpp
+++ b/modules/av_core/log_event.hpp
@@ -20,8 +20,9 @@
 
 // Builds one log line of key=value pairs. The line goes to standard output when
 // write is called: VMs have no disks. Writing never blocks, and the lines of a
-// process are bounded, see log_budget; what is left out is counted. Values that hold spaces, quotes or
-// control characters are quoted and escaped, so that a line stays one line.
+// process are bounded, see log_budget; what is left out is counted. Values that
+// hold spaces, quotes or control characters are quoted and escaped, so that a
+// line stays one line.
 class log_event
 {
 public:
--- a/modules/av_daemon/av_daemon.hpp
+++ b/modules/av_daemon/av_daemon.hpp
@@ -1,7 +1,7 @@
 // Purpose: puts the parts of anvilturnd together: request path, control plane
 // and the operators' server, and stops them in order.
-// Depends on: av_acceptor, av_control, av_core, av_feed, av_membership, av_metrics,
-// av_model, av_net, av_operator, av_platform, av_probing, av_proxy,
+// Depends on: av_acceptor, av_control, av_core, av_feed, av_membership,
+// av_metrics, av_model, av_net, av_operator, av_platform, av_probing, av_proxy,
 // av_release, av_routing, av_settings, av_shutdown, av_spread; Boost.Asio and
 // yaml-cpp (behind .cpp files).
 
--- a/modules/av_daemon/daemon.cpp
+++ b/modules/av_daemon/daemon.cpp
@@ -148,23 +148,22 @@
         {
             path.dialect_ = adapter->dialect_();
         }
-        auto built =
-            request_path_builder()
-                .settings(path)
-                .recorder(recorder_)
-                .notice_listener(
-                    [this](const target_notice& notice)
-                    {
-                        asio::post(context_,
-                                   [this, notice]
-                                   {
-                                       if (control_)
-                                       {
-                                           control_->report(notice);
-                                       }
-                                   });
-                    })
-                .build();
+        auto built = request_path_builder()
+                         .settings(path)
+                         .recorder(recorder_)
+                         .notice_listener(
+                             [this](const target_notice& notice)
+                             {
+                                 asio::post(context_,
+                                            [this, notice]
+                                            {
+                                                if (control_)
+                                                {
+                                                    control_->report(notice);
+                                                }
+                                            });
+                             })
+                         .build();
         if (!built.ok())
         {
             return built.status();
@@ -259,18 +258,19 @@
         options.peer_address_ = settings_.listen().peers_;
         options.watchers_ = settings_.vm().seed_peers_;
         options.service_defaults_ = store.service_defaults_;
-        registry_ = std::make_unique<registry_control>(
-            context_,
-            std::move(options),
-            adapter.open_(context_, store),
-            std::move(handlers));
+        registry_ =
+            std::make_unique<registry_control>(context_,
+                                               std::move(options),
+                                               adapter.open_(context_, store),
+                                               std::move(handlers));
         return registry_->start();
     }
 
     // A VM that takes targets from the store is ready once it has them.
     void update_ready()
     {
-        const bool ready = has_release_ && (registry_ == nullptr || has_targets_);
+        const bool ready =
+            has_release_ && (registry_ == nullptr || has_targets_);
         if (!ready_.exchange(ready) && ready)
         {
             request_path_->set_ready(true);
--- a/modules/av_feed/collection_feed.hpp
+++ b/modules/av_feed/collection_feed.hpp
@@ -89,16 +89,15 @@
         {
             objects_.clear();
         }
-        source_.list_(
-            after,
-            [this, generation = generation_, first = after.empty()](
-                typename collection_source<Value>::listing page)
-            {
-                if (generation == generation_)
-                {
-                    take_page(std::move(page), first);
-                }
-            });
+        source_.list_(after,
+                      [this, generation = generation_, first = after.empty()](
+                          typename collection_source<Value>::listing page)
+                      {
+                          if (generation == generation_)
+                          {
+                              take_page(std::move(page), first);
+                          }
+                      });
     }
 
     void take_page(typename collection_source<Value>::listing page, bool first)
@@ -134,17 +133,16 @@
 
     void watch()
     {
-        source_.watch_(
-            revision_,
-            watch_wait,
-            [this, generation = generation_](
-                typename collection_source<Value>::changes changes)
-            {
-                if (generation == generation_)
-                {
-                    take_changes(std::move(changes));
-                }
-            });
+        source_.watch_(revision_,
+                       watch_wait,
+                       [this, generation = generation_](
+                           typename collection_source<Value>::changes changes)
+                       {
+                           if (generation == generation_)
+                           {
+                               take_changes(std::move(changes));
+                           }
+                       });
     }
 
     void take_changes(typename collection_source<Value>::changes changes)
@@ -178,8 +176,8 @@
     {
         timer_.expires_after(to_duration(watch_pause));
         timer_.async_wait(
-            [this, generation = generation_](
-                const boost::system::error_code& error)
+            [this,
+             generation = generation_](const boost::system::error_code& error)
             {
                 if (!error && generation == generation_)
                 {
--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -395,10 +395,8 @@
                                    registry_options options,
                                    store_calls calls,
                                    registry_handlers handlers)
-    : implementation_(std::make_unique<implementation>(context,
-                                                       std::move(options),
-                                                       std::move(calls),
-                                                       std::move(handlers)))
+    : implementation_(std::make_unique<implementation>(
+          context, std::move(options), std::move(calls), std::move(handlers)))
 {
 }
 
--- a/modules/av_http/answer_reader.cpp
+++ b/modules/av_http/answer_reader.cpp
@@ -278,9 +278,8 @@
 {
     answers_head_request_ = answers_head_request;
     parser_->head_.clear();
-    auto& beast =
-        parser_->parser_.emplace(
-            parser_->head_, dialect_, answers_head_request);
+    auto& beast = parser_->parser_.emplace(
+        parser_->head_, dialect_, answers_head_request);
     beast.eager(true);
     beast.header_limit(static_cast<std::uint32_t>(limits_.header_bytes_));
     // Beast 1.74 takes an absent limit for zero.
--- a/modules/av_http/message_writer.cpp
+++ b/modules/av_http/message_writer.cpp
@@ -148,9 +148,8 @@
                         dialect.deadline_,
                         static_cast<std::uint64_t>(
                             std::max(1.0, additions.deadline_left_.count())));
-    append_number_field(output,
-                        dialect.depth_,
-                        static_cast<std::uint64_t>(additions.depth_));
+    append_number_field(
+        output, dialect.depth_, static_cast<std::uint64_t>(additions.depth_));
     if (additions.forwarded_)
     {
         append_field(output, dialect.forwarded_, "1");
--- a/modules/av_limits/call_queue.hpp
+++ b/modules/av_limits/call_queue.hpp
@@ -113,9 +113,8 @@
         auto turn = turn_;
         const auto value = next_class(
             turn, {calls_[0].size(), calls_[1].size(), calls_[2].size()});
-        return value
-                   ? &calls_[static_cast<std::size_t>(*value)].front().call_
-                   : nullptr;
+        return value ? &calls_[static_cast<std::size_t>(*value)].front().call_
+                     : nullptr;
     }
 
     // Takes out the call whose turn it is; nothing if none waits.
--- a/modules/av_limits/load_profile.cpp
+++ b/modules/av_limits/load_profile.cpp
@@ -23,9 +23,9 @@
                         double slowdown,
                         milliseconds took) noexcept
 {
-    const auto index = std::min(
-        static_cast<std::size_t>(std::max(0, load_at_start)),
-        profiled_loads - 1);
+    const auto index =
+        std::min(static_cast<std::size_t>(std::max(0, load_at_start)),
+                 profiled_loads - 1);
     auto& level = profile.levels_[index];
     const auto time = took * (1.0 / std::max(1.0, slowdown));
     const double weight = std::max(least_weight, 1.0 / (level.samples_ + 1.0));
@@ -66,7 +66,8 @@
     // less.
     for (int calls = 1; calls <= most; ++calls)
     {
-        const auto& level = profile.levels_[static_cast<std::size_t>(calls - 1)];
+        const auto& level =
+            profile.levels_[static_cast<std::size_t>(calls - 1)];
         if (level.samples_ >= samples_to_judge)
         {
             time = level.time_;
--- a/modules/av_limits/patience.cpp
+++ b/modules/av_limits/patience.cpp
@@ -22,17 +22,15 @@
     {
         return latest;
     }
-    const auto in_time =
-        facts.arrived_ + facts.objective_ - facts.usual_time_;
+    const auto in_time = facts.arrived_ + facts.objective_ - facts.usual_time_;
     const auto least = facts.arrived_ + facts.objective_ * least_wait_share;
     return std::min(latest, std::max(in_time, least));
 }
 
 milliseconds delay_before_return(milliseconds time_left, double random) noexcept
 {
-    const double share =
-        shortest_delay_share +
-        (longest_delay_share - shortest_delay_share) * random;
+    const double share = shortest_delay_share +
+                         (longest_delay_share - shortest_delay_share) * random;
     return std::max(return_at_once, time_left * share);
 }
 
--- a/modules/av_mirror/mirror_client.cpp
+++ b/modules/av_mirror/mirror_client.cpp
@@ -55,12 +55,12 @@
         }
         subscription_ = write_subscription(position);
         expect_within(mirror_connect_timeout);
-        socket_.async_connect(*endpoint,
-                              [self = shared_from_this()](
-                                  const error_code& error)
-                              {
-                                  self->on_connected(error);
-                              });
+        socket_.async_connect(
+            *endpoint,
+            [self = shared_from_this()](const error_code& error)
+            {
+                self->on_connected(error);
+            });
     }
 
     void stop()
@@ -80,28 +80,28 @@
         }
         error_code ignored;
         socket_.set_option(tcp::no_delay(true), ignored);
-        asio::async_write(socket_,
-                          asio::buffer(subscription_),
-                          [self = shared_from_this()](const error_code& failure,
-                                                      std::size_t)
-                          {
-                              if (!self->failed(failure, "can't subscribe"))
-                              {
-                                  self->read_header();
-                              }
-                          });
+        asio::async_write(
+            socket_,
+            asio::buffer(subscription_),
+            [self = shared_from_this()](const error_code& failure, std::size_t)
+            {
+                if (!self->failed(failure, "can't subscribe"))
+                {
+                    self->read_header();
+                }
+            });
     }
 
     void read_header()
     {
         expect_within(longest_silence);
-        asio::async_read(socket_,
-                         asio::buffer(header_),
-                         [self = shared_from_this()](const error_code& error,
-                                                     std::size_t)
-                         {
-                             self->on_header(error);
-                         });
+        asio::async_read(
+            socket_,
+            asio::buffer(header_),
+            [self = shared_from_this()](const error_code& error, std::size_t)
+            {
+                self->on_header(error);
+            });
     }
 
     void on_header(const error_code& error)
@@ -117,13 +117,13 @@
             return;
         }
         body_.resize(length);
-        asio::async_read(socket_,
-                         asio::buffer(body_),
-                         [self = shared_from_this()](const error_code& failure,
-                                                     std::size_t)
-                         {
-                             self->on_body(failure);
-                         });
+        asio::async_read(
+            socket_,
+            asio::buffer(body_),
+            [self = shared_from_this()](const error_code& failure, std::size_t)
+            {
+                self->on_body(failure);
+            });
     }
 
     void on_body(const error_code& error)
--- a/modules/av_mirror/mirror_server.cpp
+++ b/modules/av_mirror/mirror_server.cpp
@@ -108,8 +108,9 @@
         }
     }
 
-    void publish_targets(const std::map<std::string, registered_target>& targets,
-                         store_revision revision)
+    void
+    publish_targets(const std::map<std::string, registered_target>& targets,
+                    store_revision revision)
     {
         const auto before = position();
         record_targets(log_, targets, revision);
@@ -153,14 +154,13 @@
         {
             error_code ignored;
             socket_.set_option(tcp::no_delay(true), ignored);
-            asio::async_read(
-                socket_,
-                asio::buffer(header_),
-                [self = shared_from_this()](const error_code& error,
-                                            std::size_t)
-                {
-                    self->on_header(error);
-                });
+            asio::async_read(socket_,
+                             asio::buffer(header_),
+                             [self = shared_from_this()](
+                                 const error_code& error, std::size_t)
+                             {
+                                 self->on_header(error);
+                             });
         }
 
         // Tells what is new since the position at which all who were told
@@ -205,22 +205,20 @@
     private:
         void on_header(const error_code& error)
         {
-            const auto length =
-                frame_length({header_.data(), header_.size()});
+            const auto length = frame_length({header_.data(), header_.size()});
             if (error || length > longest_subscription)
             {
                 owner_.drop(shared_from_this());
                 return;
             }
             body_.resize(length);
-            asio::async_read(
-                socket_,
-                asio::buffer(body_),
-                [self = shared_from_this()](const error_code& failure,
-                                            std::size_t)
-                {
-                    self->on_body(failure);
-                });
+            asio::async_read(socket_,
+                             asio::buffer(body_),
+                             [self = shared_from_this()](
+                                 const error_code& failure, std::size_t)
+                             {
+                                 self->on_body(failure);
+                             });
         }
 
         void on_body(const error_code& error)
@@ -248,14 +246,13 @@
 
         void write()
         {
-            asio::async_write(
-                socket_,
-                asio::buffer(*frames_.front()),
-                [self = shared_from_this()](const error_code& error,
-                                            std::size_t)
-                {
-                    self->on_written(error);
-                });
+            asio::async_write(socket_,
+                              asio::buffer(*frames_.front()),
+                              [self = shared_from_this()](
+                                  const error_code& error, std::size_t)
+                              {
+                                  self->on_written(error);
+                              });
         }
 
         void on_written(const error_code& error)
@@ -295,8 +292,8 @@
                 }
                 if (!error && self->sessions_.size() < most_subscribers)
                 {
-                    const auto added = std::make_shared<session>(
-                        *self, std::move(socket));
+                    const auto added =
+                        std::make_shared<session>(*self, std::move(socket));
                     self->sessions_.insert(added);
                     added->start();
                 }
--- a/modules/av_mirror/mirror_server.hpp
+++ b/modules/av_mirror/mirror_server.hpp
@@ -40,8 +40,9 @@
     absl::Status start(const std::string& address);
 
     // Tell what is new.
-    void publish_targets(const std::map<std::string, registered_target>& targets,
-                         store_revision revision);
+    void
+    publish_targets(const std::map<std::string, registered_target>& targets,
+                    store_revision revision);
     void publish_release(std::shared_ptr<const release> value);
 
     // VMs that are told.
--- /dev/null
+++ b/modules/av_mirror/tests/mirror_test.cpp
@@ -0,0 +1,299 @@
+#include <av_mirror/av_mirror.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace anvilturn;
+
+namespace
+{
+
+constexpr const char* loopback = "127.0.30.7:0";
+constexpr std::chrono::seconds watchdog{20};
+
+registered_target
+target(const std::string& name, store_revision revision, bool draining = false)
+{
+    registered_target result;
+    result.spec_.name_ = name;
+    result.spec_.service_ = "kits";
+    result.spec_.address_ = "10.1.0.7:80";
+    result.spec_.failure_domain_ = "a";
+    result.spec_.draining_ = draining;
+    result.spec_.incarnation_ = 17;
+    result.revision_ = revision;
+    return result;
+}
+
+std::shared_ptr<const release> make_release(release_version version)
+{
+    release value;
+    value.version_ = version;
+    rule_spec rule;
+    rule.name_ = "kits";
+    rule.host_ = "kits.example";
+    rule.path_prefix_ = "/kits/";
+    rule.plain_prefix_ = true;
+    rule.service_ = "kits";
+    rule.split_ = {{"kits", 90.0}, {"spare", 10.0}};
+    rule.idempotent_ = true;
+    rule.timeout_ = milliseconds(1200.0);
+    rule.objective_ = milliseconds(300.0);
+    rule.most_attempts_ = 2;
+    rule.class_ = traffic_class::bulk;
+    value.rules_["kits"] = rule;
+    service_spec service;
+    service.name_ = "kits";
+    service.health_path_ = "/healthz";
+    value.services_["kits"] = service;
+    return std::make_shared<const release>(value);
+}
+
+registry_update through_the_codec(const registry_update& update)
+{
+    const auto frame = write_update(update);
+    const std::string_view bytes = frame;
+    BOOST_TEST_REQUIRE(frame_length(bytes) ==
+                       bytes.size() - frame_header_bytes);
+    const auto read =
+        read_update(bytes.substr(frame_header_bytes), service_spec());
+    BOOST_TEST_REQUIRE(read.ok());
+    return *read;
+}
+
+// A watcher and a subscriber on one thread.
+struct pair_of_vms
+{
+    pair_of_vms()
+        : server_(context_,
+                  "a",
+                  []
+                  {
+                      return milliseconds(5.0);
+                  })
+    {
+        BOOST_TEST_REQUIRE(server_.start(loopback).ok());
+    }
+
+    void subscribe(const mirror_position& position = {})
+    {
+        mirror_handlers handlers;
+        handlers.on_update_ = [this](const registry_update& update)
+        {
+            updates_.push_back(update);
+            return accepts_;
+        };
+        handlers.on_end_ = [this](const std::string& reason)
+        {
+            ends_.push_back(reason);
+        };
+        client_ = std::make_unique<mirror_client>(
+            context_, service_spec(), std::move(handlers));
+        client_->start(server_.address(), position);
+    }
+
+    template <typename Condition>
+    void run_until(Condition condition)
+    {
+        const auto limit = std::chrono::steady_clock::now() + watchdog;
+        while (!condition())
+        {
+            BOOST_TEST_REQUIRE((std::chrono::steady_clock::now() < limit));
+            context_.run_one_for(std::chrono::milliseconds(100));
+        }
+    }
+
+    boost::asio::io_context context_;
+    mirror_server server_;
+    std::unique_ptr<mirror_client> client_;
+    std::vector<registry_update> updates_;
+    std::vector<std::string> ends_;
+    bool accepts_ = true;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(mirrors)
+
+BOOST_AUTO_TEST_CASE(an_update_survives_the_codec)
+{
+    registry_log log;
+    log.epoch_ = 5;
+    log.failure_domain_ = "a";
+    auto lapsing = target("b", 8);
+    lapsing.drop_at_ = milliseconds(1.0);
+    record_targets(log, {{"a", target("a", 7, true)}, {"b", lapsing}}, 9);
+    record_release(log, make_release(3));
+    const auto update = through_the_codec(update_since(log, {}));
+    BOOST_TEST(update.epoch_ == 5U);
+    BOOST_TEST(update.whole_);
+    BOOST_TEST(update.store_revision_ == 9U);
+    BOOST_TEST(update.failure_domain_ == "a");
+    BOOST_TEST_REQUIRE(update.changes_.size() == 2U);
+    BOOST_TEST(
+        (*update.changes_[0].object_.value_ == target("a", 7, true).spec_));
+    BOOST_TEST(update.changes_[0].object_.revision_ == 7U);
+    BOOST_TEST(!update.changes_[0].lapsing_);
+    BOOST_TEST(update.changes_[1].lapsing_);
+    BOOST_TEST_REQUIRE(update.release_ != nullptr);
+    BOOST_TEST((*update.release_ == *make_release(3)));
+}
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_message_are_refused)
+{
+    for (const std::string bytes :
+         {"", "x", "\xff\xff\xff\xff\xff\xff\xff\xff"})
+    {
+        BOOST_TEST(!read_update(bytes, service_spec()).ok());
+        BOOST_TEST(!read_subscription(bytes).ok());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_release_is_told_only_to_those_who_lack_it)
+{
+    registry_log log;
+    log.epoch_ = 5;
+    record_release(log, make_release(3));
+    BOOST_TEST((update_since(log, {5, 0, 2}).release_ != nullptr));
+    BOOST_TEST((update_since(log, {5, 0, 3}).release_ == nullptr));
+}
+
+RC_BOOST_PROP(changes_lead_where_the_whole_does, ())
+{
+    registry_log log;
+    log.epoch_ = 1;
+    target_registry follower;
+    mirror_position position;
+    store_revision revision = 0;
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 64));
+    std::map<std::string, registered_target> targets;
+    for (const int step : steps)
+    {
+        const auto name = std::to_string(step % 8);
+        ++revision;
+        if (step >= 48)
+        {
+            targets.erase(name);
+        }
+        else
+        {
+            targets[name] = target(name, revision, step % 2 == 0);
+        }
+        record_targets(log, targets, revision);
+        if (step % 3 != 0)
+        {
+            continue;
+        }
+        const auto update = update_since(log, position);
+        if (update.whole_)
+        {
+            take_whole(follower, update.changes_);
+        }
+        else
+        {
+            take_changes(follower, update.changes_, milliseconds(0.0));
+        }
+        position = {update.epoch_, update.sequence_, 0};
+        std::map<std::string, target_spec> expected;
+        for (const auto& entry : targets)
+        {
+            expected[entry.first] = entry.second.spec_;
+        }
+        RC_ASSERT((registered_targets(follower) == expected));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_subscriber_is_told_everything_and_then_what_changes)
+{
+    pair_of_vms vms;
+    vms.server_.publish_release(make_release(3));
+    vms.server_.publish_targets({{"a", target("a", 7)}}, 7);
+    vms.subscribe();
+    vms.run_until(
+        [&]
+        {
+            return !vms.updates_.empty();
+        });
+    BOOST_TEST(vms.updates_[0].whole_);
+    BOOST_TEST_REQUIRE(vms.updates_[0].release_ != nullptr);
+    vms.server_.publish_targets({}, 8);
+    vms.run_until(
+        [&]
+        {
+            return !vms.updates_.back().changes_.empty() &&
+                   vms.updates_.back().changes_[0].removed_;
+        });
+    BOOST_TEST(!vms.updates_.back().whole_);
+}
+
+// The release came before the list of targets: whoever subscribed in between
+// must get both.
+BOOST_AUTO_TEST_CASE(nothing_is_told_before_the_watcher_has_everything)
+{
+    pair_of_vms vms;
+    vms.subscribe();
+    vms.run_until(
+        [&]
+        {
+            return !vms.updates_.empty();
+        });
+    BOOST_TEST(vms.updates_[0].epoch_ == 0U);
+    vms.server_.publish_release(make_release(3));
+    vms.server_.publish_targets({{"a", target("a", 7)}}, 7);
+    vms.run_until(
+        [&]
+        {
+            return vms.updates_.back().epoch_ != 0;
+        });
+    BOOST_TEST((vms.updates_.back().release_ != nullptr));
+    BOOST_TEST(vms.updates_.back().changes_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_update_that_is_refused_ends_the_subscription)
+{
+    pair_of_vms vms;
+    vms.accepts_ = false;
+    vms.subscribe();
+    vms.run_until(
+        [&]
+        {
+            return !vms.ends_.empty();
+        });
+    BOOST_TEST(vms.ends_.size() == 1U);
+    vms.run_until(
+        [&]
+        {
+            return vms.server_.subscribers() == 0;
+        });
+}
+
+BOOST_AUTO_TEST_CASE(a_watcher_that_is_not_there_ends_the_subscription)
+{
+    pair_of_vms vms;
+    std::vector<std::string> ends;
+    mirror_handlers handlers;
+    handlers.on_update_ = [](const registry_update&)
+    {
+        return true;
+    };
+    handlers.on_end_ = [&ends](const std::string& reason)
+    {
+        ends.push_back(reason);
+    };
+    mirror_client client(vms.context_, service_spec(), std::move(handlers));
+    client.start("no address", {});
+    vms.run_until(
+        [&]
+        {
+            return ends.size() == 1;
+        });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/av_mirror/update_codec.cpp
+++ b/modules/av_mirror/update_codec.cpp
@@ -101,8 +101,7 @@
     builder.setTimeoutMs(rule.timeout_.count());
     builder.setObjectiveMs(rule.objective_.count());
     builder.setMostAttempts(rule.most_attempts_);
-    auto parts =
-        builder.initSplit(static_cast<unsigned>(rule.split_.size()));
+    auto parts = builder.initSplit(static_cast<unsigned>(rule.split_.size()));
     for (unsigned i = 0; i < parts.size(); ++i)
     {
         parts[i].setService(to_text(rule.split_[i].service_));
@@ -136,8 +135,7 @@
 void fill(wire::StoreRelease::Builder builder, const release& value)
 {
     builder.setVersion(value.version_);
-    auto rules =
-        builder.initRules(static_cast<unsigned>(value.rules_.size()));
+    auto rules = builder.initRules(static_cast<unsigned>(value.rules_.size()));
     unsigned index = 0;
     for (const auto& rule : value.rules_)
     {
@@ -217,11 +215,10 @@
     builder.setWhole(update.whole_);
     builder.setFailureDomain(to_text(update.failure_domain_));
     builder.setStoreRevision(update.store_revision_);
-    builder.setStoreSilentMs(static_cast<std::uint32_t>(
-        std::clamp(update.store_silent_.count(),
-                   0.0,
-                   static_cast<double>(
-                       std::numeric_limits<std::uint32_t>::max()))));
+    builder.setStoreSilentMs(static_cast<std::uint32_t>(std::clamp(
+        update.store_silent_.count(),
+        0.0,
+        static_cast<double>(std::numeric_limits<std::uint32_t>::max()))));
     auto targets =
         builder.initTargets(static_cast<unsigned>(update.changes_.size()));
     for (unsigned i = 0; i < targets.size(); ++i)
@@ -240,9 +237,9 @@
     std::size_t length = 0;
     for (unsigned i = 0; i < frame_header_bytes; ++i)
     {
-        length |= static_cast<std::size_t>(
-                      static_cast<unsigned char>(header[i]))
-                  << (i * bits_per_byte);
+        length |=
+            static_cast<std::size_t>(static_cast<unsigned char>(header[i]))
+            << (i * bits_per_byte);
     }
     return length;
 }
--- a/modules/av_model/rule_spec.hpp
+++ b/modules/av_model/rule_spec.hpp
@@ -26,7 +26,8 @@
     std::string host_;
     // Matches whole path segments: "/kits" matches "/kits" and "/kits/4".
     std::string path_prefix_ = "/";
-    // Whether the prefix is compared byte by byte rather than by whole segments.
+    // Whether the prefix is compared byte by byte rather than by whole
+    // segments.
     bool plain_prefix_ = false;
     // Empty matches every method.
     std::vector<std::string> methods_;
--- a/modules/av_net/http_caller.cpp
+++ b/modules/av_net/http_caller.cpp
@@ -60,19 +60,18 @@
         const auto started = std::make_shared<http_exchange>(
             take_connection(), std::move(request), body_limit_);
         running_[started.get()] = started;
-        started->start(
-            *endpoint_,
-            timeout,
-            [weak = weak_from_this(),
-             key = started.get(),
-             done = std::move(done)](http_result result)
-            {
-                if (const auto self = weak.lock())
-                {
-                    self->finish(key);
-                    done(std::move(result));
-                }
-            });
+        started->start(*endpoint_,
+                       timeout,
+                       [weak = weak_from_this(),
+                        key = started.get(),
+                        done = std::move(done)](http_result result)
+                       {
+                           if (const auto self = weak.lock())
+                           {
+                               self->finish(key);
+                               done(std::move(result));
+                           }
+                       });
     }
 
     std::uint64_t connections() const
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -357,8 +357,8 @@
 
 void proxied_call::on_answer_head(const answer_head& head)
 {
-    const bool taken = to_vm_ ? take_vm_answer(head)
-                              : is_refusal(head) || take_failure(head);
+    const bool taken =
+        to_vm_ ? take_vm_answer(head) : is_refusal(head) || take_failure(head);
     if (!taken)
     {
         relay_head(head);
@@ -547,8 +547,7 @@
         answer.text_ = "ready";
     }
     answer.keep_alive_ = head_->keep_alive_ && core.accepting_.load();
-    write_own_answer(
-        link_.output(), answer, core.settings_.dialect_);
+    write_own_answer(link_.output(), answer, core.settings_.dialect_);
     life_.refuse();
     finish(answer.keep_alive_);
 }
@@ -598,11 +597,10 @@
     }
     if (++attempts_ == 1)
     {
-        lane_->budget_ = after_first_attempt(
-            lane_->budget_,
-            service_->spec_.retry_ratio_,
-            head_->depth_,
-            service_->spec_.retry_burst_);
+        lane_->budget_ = after_first_attempt(lane_->budget_,
+                                             service_->spec_.retry_ratio_,
+                                             head_->depth_,
+                                             service_->spec_.retry_burst_);
     }
     attempt_started_at_ = worker_.now();
     load_at_start_ = target_->reported_load_.load(relaxed) +
@@ -795,10 +793,8 @@
     additions.reason_ = vm_reason_;
     additions.keep_alive_ = keep_alive_;
     additions.with_load_ = came_from_vm_;
-    write_answer_head(answer_output(),
-                      head,
-                      additions,
-                      worker_.core().settings_.dialect_);
+    write_answer_head(
+        answer_output(), head, additions, worker_.core().settings_.dialect_);
 }
 
 void proxied_call::observe_end()
@@ -941,8 +937,7 @@
                          request_complete_ &&
                          !worker_.core().draining_.load(relaxed);
     answer.answers_head_request_ = is_head_request_;
-    write_own_answer(
-        link_.output(), answer, worker_.core().settings_.dialect_);
+    write_own_answer(link_.output(), answer, worker_.core().settings_.dialect_);
     count(reason);
     finish(answer.keep_alive_);
 }
@@ -950,8 +945,8 @@
 // Returns when the caller should come back.
 milliseconds proxied_call::retry_after(error_kind reason) const
 {
-    const bool other_vm_may_serve = reason == error_kind::vm_stopping ||
-                                    reason == error_kind::vm_not_ready;
+    const bool other_vm_may_serve =
+        reason == error_kind::vm_stopping || reason == error_kind::vm_not_ready;
     if (other_vm_may_serve)
     {
         return return_at_once;
--- a/modules/av_proxy/request_path.cpp
+++ b/modules/av_proxy/request_path.cpp
@@ -156,10 +156,10 @@
         const auto previous = core_.table_.load();
         core_.table_.publish(build_routing_table(
             registered_ ? with_targets(release_, *registered_) : release_,
-                                                 fleet_,
-                                                 core_.workers_.size(),
-                                                 previous.get(),
-                                                 monotonic_now()));
+            fleet_,
+            core_.workers_.size(),
+            previous.get(),
+            monotonic_now()));
     }
 
     bool join_until(milliseconds point)
--- /dev/null
+++ b/modules/av_proxy/tests/platform_rules_test.cpp
@@ -0,0 +1,272 @@
+// What targets and callers of a platform may count on, with its own header
+// names: the dialect of these tests is made up.
+
+#include "relay_fixture.hpp"
+
+using namespace anvilturn;
+using namespace anvilturn::test;
+
+namespace
+{
+
+request_path_settings other_dialect()
+{
+    auto settings = one_thread();
+    settings.held_answer_bytes_ = 64 * 1024;
+    auto& dialect = settings.dialect_;
+    dialect.call_id_ = "X-Call";
+    dialect.expected_target_ = "X-Meant-For";
+    dialect.signature_ = "X-Signed";
+    dialect.own_prefix_.clear();
+    dialect.answers_name_call_ = true;
+    dialect.allows_unframed_answers_ = true;
+    return settings;
+}
+
+release with_retries(release value)
+{
+    value.services_["kits"].retry_ratio_ = 1.0;
+    return value;
+}
+
+std::string request(const std::string& path, const std::string& id)
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Call: " + id + "\r\n\r\n";
+}
+
+std::string signed_answer(const std::string& id, const std::string& body)
+{
+    return ok(body, "X-Call: " + id + "\r\nX-Signed: 1\r\n");
+}
+
+played_target& first_called(played_target& a, played_target& b)
+{
+    wait_until(
+        [&]
+        {
+            return a.is_called() || b.is_called();
+        });
+    return a.is_called() ? a : b;
+}
+
+std::string status_of_answer(const std::string& header)
+{
+    return header.substr(0, header.find("\r\n"));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(rules_of_a_platform)
+
+BOOST_AUTO_TEST_CASE(a_stray_answer_is_passed_over)
+{
+    played_target target;
+    relay vm(make_release({target.address()}), other_dialect());
+    auto caller = vm.call();
+    caller.send(request("/kits", "one"));
+    auto connection = target.accept();
+    BOOST_TEST(contains(connection.read_header(), "X-Meant-For: kits-1\r\n"));
+    connection.send(signed_answer("zero", "of an earlier call") +
+                    signed_answer("one", "mine"));
+    const auto header = caller.read_header();
+    BOOST_TEST(contains(header, "X-Call: one\r\n"));
+    BOOST_TEST(caller.read_bytes(4) == "mine");
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_took_over_the_address_gets_no_more_calls)
+{
+    played_target moved;
+    played_target other;
+    relay vm(with_retries(make_release({moved.address()})), other_dialect());
+    auto caller = vm.call();
+    caller.send(request("/kits", "one"));
+    auto connection = moved.accept();
+    connection.read_header();
+    connection.send("HTTP/1.1 421 Misdirected Request\r\n"
+                    "Content-Length: 0\r\n\r\n");
+    const auto refused = caller.read_header();
+    BOOST_TEST(status_of_answer(refused) == "HTTP/1.1 503 Service Unavailable");
+    caller.send(request("/kits", "two"));
+    BOOST_TEST(outcome_of(caller.read_header()) ==
+               "not-run no_target_available");
+    BOOST_TEST(!moved.is_called());
+}
+
+BOOST_AUTO_TEST_CASE(a_success_without_signature_is_no_answer)
+{
+    played_target target;
+    relay vm(make_release({target.address()}), other_dialect());
+    auto caller = vm.call();
+    caller.send(request("/kits", "one"));
+    auto connection = target.accept();
+    connection.read_header();
+    connection.send(ok("spoilt", "X-Call: one\r\n"));
+    BOOST_TEST(outcome_of(caller.read_header()) ==
+               "unknown target_answer_malformed");
+}
+
+BOOST_AUTO_TEST_CASE(a_truncated_answer_is_had_from_another_target)
+{
+    played_target first;
+    played_target second;
+    relay vm(with_retries(make_release({first.address(), second.address()})),
+             other_dialect());
+    auto caller = vm.call();
+    caller.send(request("/kits/availability", "one"));
+    auto& called = first_called(first, second);
+    auto& other = &called == &first ? second : first;
+    auto connection = called.accept();
+    connection.read_header();
+    connection.send("HTTP/1.1 200 OK\r\nX-Call: one\r\nX-Signed: 1\r\n"
+                    "Content-Length: 10\r\n\r\nhalf");
+    connection.close();
+    auto again = other.accept();
+    again.read_header();
+    again.send(signed_answer("one", "whole"));
+    const auto header = caller.read_header();
+    BOOST_TEST(status_of_answer(header) == "HTTP/1.1 200 OK");
+    BOOST_TEST(caller.read_bytes(5) == "whole");
+}
+
+BOOST_AUTO_TEST_CASE(a_truncated_answer_to_a_booking_is_not_asked_for_again)
+{
+    played_target first;
+    played_target second;
+    relay vm(with_retries(make_release({first.address(), second.address()})),
+             other_dialect());
+    auto caller = vm.call();
+    caller.send(request("/kits/order", "one"));
+    auto& called = first_called(first, second);
+    auto& other = &called == &first ? second : first;
+    auto connection = called.accept();
+    connection.read_header();
+    connection.send("HTTP/1.1 200 OK\r\nX-Call: one\r\nX-Signed: 1\r\n"
+                    "Content-Length: 10\r\n\r\nhalf");
+    connection.close();
+    BOOST_TEST(status_of_answer(caller.read_header()) ==
+               "HTTP/1.1 502 Bad Gateway");
+    BOOST_TEST(!other.is_called());
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_without_length_ends_with_its_connection)
+{
+    for (const bool clean : {true, false})
+    {
+        BOOST_TEST_CONTEXT((clean ? "closed" : "reset"))
+        {
+            played_target target;
+            relay vm(make_release({target.address()}), other_dialect());
+            auto caller = vm.call();
+            caller.send(request("/kits", "one"));
+            auto connection = target.accept();
+            connection.read_header();
+            connection.send("HTTP/1.1 200 OK\r\nX-Call: one\r\n"
+                            "X-Signed: 1\r\n\r\nuntil the end");
+            if (clean)
+            {
+                connection.close();
+            }
+            else
+            {
+                connection.reset();
+            }
+            BOOST_TEST(
+                status_of_answer(caller.read_header()) ==
+                (clean ? "HTTP/1.1 200 OK" : "HTTP/1.1 502 Bad Gateway"));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_failure_of_one_target_is_spared_the_caller)
+{
+    played_target first;
+    played_target second;
+    relay vm(with_retries(make_release({first.address(), second.address()})),
+             other_dialect());
+    auto caller = vm.call();
+    caller.send(request("/kits/availability", "one"));
+    auto& called = first_called(first, second);
+    auto& other = &called == &first ? second : first;
+    auto connection = called.accept();
+    connection.read_header();
+    connection.send("HTTP/1.1 500 Error\r\nX-Call: one\r\nX-Signed: 1\r\n"
+                    "Content-Length: 0\r\n\r\n");
+    auto again = other.accept();
+    again.read_header();
+    again.send(signed_answer("one", "good"));
+    BOOST_TEST(status_of_answer(caller.read_header()) == "HTTP/1.1 200 OK");
+}
+
+BOOST_AUTO_TEST_CASE(no_call_runs_at_more_targets_than_its_rule_allows)
+{
+    played_target first;
+    played_target second;
+    auto value =
+        with_retries(make_release({first.address(), second.address()}));
+    value.rules_["look-ups"].most_attempts_ = 1;
+    relay vm(value, other_dialect());
+    auto caller = vm.call();
+    caller.send(request("/kits/availability", "one"));
+    auto& called = first_called(first, second);
+    auto& other = &called == &first ? second : first;
+    auto connection = called.accept();
+    connection.read_header();
+    connection.close();
+    BOOST_TEST(status_of_answer(caller.read_header()) ==
+               "HTTP/1.1 502 Bad Gateway");
+    BOOST_TEST(!other.is_called());
+}
+
+BOOST_AUTO_TEST_CASE(the_timeout_of_a_rule_ends_a_call)
+{
+    played_target target;
+    auto value = make_release({target.address()});
+    value.rules_["kits"].timeout_ = milliseconds(50.0);
+    relay vm(value, other_dialect());
+    auto caller = vm.call();
+    caller.send(request("/kits", "one"));
+    auto connection = target.accept();
+    connection.read_header();
+    BOOST_TEST(status_of_answer(caller.read_header()) ==
+               "HTTP/1.1 504 Gateway Timeout");
+    // The call is cancelled at the target too.
+    BOOST_TEST(connection.read_to_end().empty());
+}
+
+BOOST_AUTO_TEST_CASE(targets_that_register_replace_those_of_the_release)
+{
+    played_target named;
+    played_target registered;
+    relay vm(make_release({named.address()}), other_dialect());
+    target_spec spec;
+    spec.name_ = "i-7";
+    spec.service_ = "kits";
+    spec.address_ = registered.address();
+    spec.failure_domain_ = "a";
+    vm.path().publish(std::map<std::string, target_spec>{{"i-7", spec}});
+    auto caller = vm.call();
+    caller.send(request("/kits", "one"));
+    auto connection = registered.accept();
+    BOOST_TEST(contains(connection.read_header(), "X-Meant-For: i-7\r\n"));
+    connection.send(signed_answer("one", "yes"));
+    BOOST_TEST(status_of_answer(caller.read_header()) == "HTTP/1.1 200 OK");
+    BOOST_TEST(!named.is_called());
+}
+
+BOOST_AUTO_TEST_CASE(a_target_is_asked_for_its_load_before_it_gets_a_call)
+{
+    played_target target;
+    auto value = make_release({target.address()}, "ask_first");
+    value.services_["kits"].health_path_ = "/healthz";
+    relay vm(value, other_dialect());
+    auto caller = vm.call();
+    caller.send(request("/kits", "one"));
+    auto connection = target.accept();
+    BOOST_TEST(contains(connection.read_header(), "GET /healthz HTTP/1.1\r\n"));
+    connection.send(ok("", "Anvilturn-Load: busy=1, queued=0, slots=6\r\n"));
+    BOOST_TEST(contains(connection.read_header(), "GET /kits HTTP/1.1\r\n"));
+    connection.send(signed_answer("one", "yes"));
+    BOOST_TEST(status_of_answer(caller.read_header()) == "HTTP/1.1 200 OK");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/av_proxy/worker.cpp
+++ b/modules/av_proxy/worker.cpp
@@ -657,10 +657,10 @@
         call.refuse(error_kind::deadline_unreachable);
         return;
     }
-    call.set_ticket(lane.queue_.push(
-        std::move(shared),
-        call.priority(),
-        call.begin_wait(usual_time_of(call.service(), lane))));
+    call.set_ticket(
+        lane.queue_.push(std::move(shared),
+                         call.priority(),
+                         call.begin_wait(usual_time_of(call.service(), lane))));
     lane.state_->waiting_[index_].fetch_add(1);
     lane.state_->waiting_total_.fetch_add(1);
     while (lane.queue_.is_over_limit())
--- a/modules/av_registry/target_registry.cpp
+++ b/modules/av_registry/target_registry.cpp
@@ -15,8 +15,8 @@
 entry_position
 remove(target_registry& registry, entry_position entry, milliseconds now)
 {
-    const bool may_return = registry.recovered_at_ &&
-                            now < *registry.recovered_at_ + lapse_grace;
+    const bool may_return =
+        registry.recovered_at_ && now < *registry.recovered_at_ + lapse_grace;
     if (!may_return)
     {
         return registry.entries_.erase(entry);
@@ -118,9 +118,8 @@
     for (auto entry = registry.entries_.begin();
          entry != registry.entries_.end();)
     {
-        entry = named.count(entry->first) != 0
-                    ? std::next(entry)
-                    : registry.entries_.erase(entry);
+        entry = named.count(entry->first) != 0 ? std::next(entry)
+                                               : registry.entries_.erase(entry);
     }
 }
 
--- a/modules/av_registry/watcher_choice.cpp
+++ b/modules/av_registry/watcher_choice.cpp
@@ -32,8 +32,8 @@
     constexpr int most_doublings = 6;
     const int doublings = std::min(watcher.failures_, most_doublings);
     return !watcher.failed_at_ ||
-           now >= *watcher.failed_at_ +
-                      watcher_pause * std::ldexp(1.0, doublings);
+           now >=
+               *watcher.failed_at_ + watcher_pause * std::ldexp(1.0, doublings);
 }
 
 bool may_ask(const watcher_record& watcher, milliseconds now)
@@ -95,10 +95,8 @@
         {
             continue;
         }
-        if (!best || is_preferred(watchers[index],
-                                  watchers[*best],
-                                  own_domain,
-                                  now))
+        if (!best ||
+            is_preferred(watchers[index], watchers[*best], own_domain, now))
         {
             best = index;
         }
--- a/modules/av_routing/ask_first_policy.cpp
+++ b/modules/av_routing/ask_first_policy.cpp
@@ -32,9 +32,11 @@
 constexpr double busy_weight = 0.3;
 // Cost of a target whose health check failed, which may be a false alarm.
 constexpr double unhealthy_cost = 3.0;
-// Cost of a new connection in the order in which targets are asked. It lets a VM
-// with few calls keep to some targets, and others now and then.
+// Cost of a new connection in the order in which targets are asked, so that a
+// VM with few calls keeps to some targets; one in so many choices looks
+// further.
 constexpr double connection_cost = 0.45;
+constexpr std::uint64_t choices_to_explore = 16;
 // Width of the random part of the order in which targets are asked.
 constexpr double order_noise = 0.6;
 
@@ -133,9 +135,9 @@
         cheapest(input,
                  [&](const target_view& target)
                  {
-                     const bool good = waits ? !is_slow(target) &&
-                                                   !target.says_unhealthy_
-                                             : is_in_time(input, target);
+                     const bool good =
+                         waits ? !is_slow(target) && !target.says_unhealthy_
+                               : is_in_time(input, target);
                      return target.same_domain_ && has_capacity(target) && good;
                  });
     if (chosen || waits)
@@ -170,6 +172,7 @@
 {
     std::vector<ranked_target> result;
     auto bits = input.random_;
+    const bool explores = input.random_ % choices_to_explore == 0;
     const auto usual = usual_foreign_load(input.targets_);
     for (std::size_t index = 0; index < input.targets_.size(); ++index)
     {
@@ -183,10 +186,11 @@
         const double busy =
             estimated_load(target, usual) / effective_slots(target);
         const double alarm = target.says_unhealthy_ ? unhealthy_cost : 0.0;
-        const double connect = target.has_connection_ ? 0.0 : connection_cost;
-        result.push_back({index,
-                          busy + alarm + connect +
-                              order_noise * unit_interval(bits)});
+        const bool keeps = !target.has_connection_ && !explores;
+        const double connect = keeps ? connection_cost : 0.0;
+        result.push_back(
+            {index,
+             busy + alarm + connect + order_noise * unit_interval(bits)});
     }
     std::sort(result.begin(),
               result.end(),
--- a/modules/av_routing/av_routing.hpp
+++ b/modules/av_routing/av_routing.hpp
@@ -10,8 +10,8 @@
 #include <av_routing/home_vm.hpp>
 #include <av_routing/load_estimate.hpp>
 #include <av_routing/outlier.hpp>
-#include <av_routing/split_choice.hpp>
 #include <av_routing/random_bits.hpp>
+#include <av_routing/split_choice.hpp>
 #include <av_routing/target_record.hpp>
 #include <av_routing/target_return.hpp>
 #include <av_routing/target_view.hpp>
--- a/modules/av_routing/outlier.hpp
+++ b/modules/av_routing/outlier.hpp
@@ -28,10 +28,11 @@
 // Returns the state after an answer. A failure is an answer that says so (a
 // status of 500 and above, a refusal, a broken connection), however fast it
 // came. A streak of failures or a high share of them ejects the target.
-outlier_state after_result(outlier_state state,
-                           bool failed,
-                           milliseconds now,
-                           int ejecting_streak = usual_ejecting_streak) noexcept;
+outlier_state
+after_result(outlier_state state,
+             bool failed,
+             milliseconds now,
+             int ejecting_streak = usual_ejecting_streak) noexcept;
 
 // Returns the state after the target was found to be slow. See is_straggler.
 outlier_state after_straggling(outlier_state state, milliseconds now) noexcept;
--- a/modules/av_settings/settings_builder.cpp
+++ b/modules/av_settings/settings_builder.cpp
@@ -14,12 +14,11 @@
 {
     std::set<std::string> seen;
     const listen_settings& listen = value.listen();
-    for (const std::string& address :
-         {listen.callers_,
-          listen.forward_,
-          listen.peers_,
-          listen.operators_,
-          listen.readiness_})
+    for (const std::string& address : {listen.callers_,
+                                       listen.forward_,
+                                       listen.peers_,
+                                       listen.operators_,
+                                       listen.readiness_})
     {
         if (!address.empty() && !seen.insert(address).second)
         {
--- a/modules/av_settings/settings_fields.cpp
+++ b/modules/av_settings/settings_fields.cpp
@@ -139,9 +139,8 @@
                                &section::peers_,
                                "for control messages of other VMs; required "
                                "unless platform.adapter is set"),
-        required(address_field("operators",
-                               &section::operators_,
-                               "for anvilturnctl and metrics")),
+        required(address_field(
+            "operators", &section::operators_, "for anvilturnctl and metrics")),
         optional_address_field(
             "readiness",
             &section::readiness_,
--- a/modules/av_settings/settings_reader.cpp
+++ b/modules/av_settings/settings_reader.cpp
@@ -14,13 +14,8 @@
 {
 
 constexpr yaml_limits settings_limits{65'536, 4, 1000};
-constexpr std::array<std::string_view, 7> section_names = {"vm",
-                                                           "listen",
-                                                           "platform",
-                                                           "request_path",
-                                                           "services",
-                                                           "shutdown",
-                                                           "logs"};
+constexpr std::array<std::string_view, 7> section_names = {
+    "vm", "listen", "platform", "request_path", "services", "shutdown", "logs"};
 constexpr std::array<std::string_view, 3> required_sections = {
     "vm", "listen", "platform"};
 
--- a/modules/av_settings/settings_sections.hpp
+++ b/modules/av_settings/settings_sections.hpp
@@ -97,12 +97,11 @@
     // Returns all members, for comparison.
     auto tie() const
     {
-        return std::tie(
-            choice_policy_,
-            retry_ratio_,
-            retry_burst_,
-            queue_limit_,
-            ejecting_failures_);
+        return std::tie(choice_policy_,
+                        retry_ratio_,
+                        retry_burst_,
+                        queue_limit_,
+                        ejecting_failures_);
     }
 };
 
--- a/scripts/check-modules.sh
+++ b/scripts/check-modules.sh
@@ -24,5 +24,14 @@
     echo "modules: $module is said to be without I/O, but the files above do I/O"; failed=1
   fi
 done
+# The platform's names stand in platform/ alone.
+names='Backend-Signature|Expect-Instance|Not-Executed|Attempt-Id|routing_rules|warmup_left_ms|target_latency_ms|max_concurrency|readiness_addr|/-/objects'
+if grep -rnE "$names" modules daemons benches standins --include='*.?pp'; then
+  echo "modules: the platform's names stand outside platform/"; failed=1
+fi
+# Nothing but the build knows the adapter: it registers itself.
+if grep -rnE '#include [<"](\.\./)*platform/' modules daemons --include='*.?pp'; then
+  echo "modules: a module includes the platform's adapter"; failed=1
+fi
 [ $failed -eq 0 ] && echo "modules: dependencies as declared"
 exit $failed
