Explain a call from the logs by its id

anvilturnctl explain ID [FILE...] puts the lines of several VMs in order and says in one sentence what became of the call; call_ended tells what was known when the call ended (attempts, queue, time left, retry tokens).

--- a/modules/av_client/av_client.hpp
+++ b/modules/av_client/av_client.hpp
@@ -5,6 +5,7 @@
 #ifndef AV_CLIENT_AV_CLIENT_HPP
 #define AV_CLIENT_AV_CLIENT_HPP
 
+#include <av_client/call_explanation.hpp>
 #include <av_client/client_arguments.hpp>
 #include <av_client/client_commands.hpp>
 #include <av_client/exit_code.hpp>
--- a/modules/av_client/client_arguments.cpp
+++ b/modules/av_client/client_arguments.cpp
@@ -30,6 +30,7 @@
   anvilturnctl [options] [--vm=ADDRESS]... drain TARGET
   anvilturnctl [options] [--vm=ADDRESS]... undrain TARGET
   anvilturnctl [options] [--vm=ADDRESS]... check-note NOTE
+  anvilturnctl explain ID [FILE]...
   anvilturnctl --help
   anvilturnctl --version
 
@@ -45,6 +46,9 @@
   drain            let a target finish its calls and get no new ones
   undrain          let a target get calls again
   check-note       check a note, against the release in force if a VM is named
+  explain          put the log lines of a call in order and say what became of
+                   it; logs of VMs are read from the files, or from standard
+                   input
 
 Options:
   --vm=ADDRESS      operator address of a VM; given several times, the next one
@@ -68,7 +72,7 @@
 
 using parsed_arguments = std::map<std::string, docopt::value>;
 
-constexpr std::array<std::pair<std::string_view, client_command>, 13> commands =
+constexpr std::array<std::pair<std::string_view, client_command>, 14> commands =
     {{{"apply", client_command::release_apply},
       {"status", client_command::release_status},
       {"history", client_command::release_history},
@@ -80,6 +84,7 @@
       {"drain", client_command::drain},
       {"undrain", client_command::undrain},
       {"check-note", client_command::check_note},
+      {"explain", client_command::explain},
       {"--help", client_command::print_help},
       {"--version", client_command::print_version}}};
 
@@ -148,7 +153,8 @@
 {
     return command != client_command::print_help &&
            command != client_command::print_version &&
-           command != client_command::check_note;
+           command != client_command::check_note &&
+           command != client_command::explain;
 }
 
 absl::Status read_vms(parsed_arguments& parsed,
@@ -205,6 +211,10 @@
     client_arguments result;
     result.command_ = command_of(parsed);
     result.operand_ = operand_of(parsed);
+    if (parsed["FILE"].isStringList())
+    {
+        result.files_ = distinct(parsed["FILE"].asStringList());
+    }
     absl::Status status = read_options(parsed, result);
     if (status.ok())
     {
--- a/modules/av_client/client_arguments.hpp
+++ b/modules/av_client/client_arguments.hpp
@@ -27,6 +27,7 @@
     drain,
     undrain,
     check_note,
+    explain,
     print_help,
     print_version
 };
@@ -50,11 +51,13 @@
     output_format output_ = output_format::text;
     // Time limit of one call to one VM.
     milliseconds timeout_{30000.0};
+    // Logs to read.
+    std::vector<std::string> files_{};
 
     // Returns all members, for comparison.
     auto tie() const
     {
-        return std::tie(command_, operand_, vms_, output_, timeout_);
+        return std::tie(command_, operand_, vms_, output_, timeout_, files_);
     }
 };
 
--- a/modules/av_client/client_commands.cpp
+++ b/modules/av_client/client_commands.cpp
@@ -1,5 +1,6 @@
 #include <av_client/client_commands.hpp>
 
+#include <av_client/call_explanation.hpp>
 #include <av_client/text_output.hpp>
 #include <av_client/vm_caller.hpp>
 #include <av_core/error.hpp>
@@ -9,11 +10,15 @@
 #include <av_settings/daemon_arguments.hpp>
 #include <av_yaml/yaml_fields.hpp>
 
+#include <algorithm>
 #include <array>
 #include <fstream>
+#include <iostream>
+#include <iterator>
 #include <ostream>
 #include <random>
 #include <utility>
+#include <vector>
 
 namespace anvilturn
 {
@@ -216,6 +221,36 @@
                      : fail(note.status(), err);
 }
 
+// Explains a call from logs on files, or on standard input without any.
+exit_code
+explain(const client_arguments& arguments, std::ostream& out, std::ostream& err)
+{
+    std::vector<std::string> lines;
+    if (arguments.files_.empty())
+    {
+        lines = lines_of_call(arguments.operand_, std::cin);
+    }
+    for (const auto& name : arguments.files_)
+    {
+        std::ifstream file(name);
+        if (!file)
+        {
+            return fail(make_error(error_kind::usage_invalid,
+                                   "can't read the log " + name),
+                        err);
+        }
+        auto found = lines_of_call(arguments.operand_, file);
+        std::move(found.begin(), found.end(), std::back_inserter(lines));
+    }
+    const auto explained = explain_call(arguments.operand_, std::move(lines));
+    for (const auto& line : explained.lines_)
+    {
+        out << line << "\n";
+    }
+    out << explained.cause_ << "\n";
+    return exit_code::success;
+}
+
 exit_code show_path(const client_arguments& arguments,
                     std::ostream& out,
                     std::ostream& err)
@@ -251,6 +286,8 @@
         return settle(arguments, out, err);
     case client_command::check_note:
         return check_file(arguments, out, err);
+    case client_command::explain:
+        return explain(arguments, out, err);
     case client_command::drain:
         return set_draining(arguments, true, out, err);
     case client_command::undrain:
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -1036,12 +1036,22 @@
     {
         return;
     }
-    log_event(log_level::info, "call_ended")
-        .field("call", call_id_)
+    log_event event(log_level::info, "call_ended");
+    event.field("call", call_id_)
         .field("outcome", outcome)
         .field("reason", reason)
         .field("took_ms", (worker_.now() - started_at_).count())
-        .write();
+        .field("attempts", attempts_)
+        .field("deadline_left_ms", (deadline_ - worker_.now()).count());
+    if (lane_ != nullptr)
+    {
+        event.field("service", lane_->state_->name_)
+            .field("objective_ms", objective_.count())
+            .field("waiting", lane_->queue_.size())
+            .field("usual_ms", usual_time(lane_->profile_).count())
+            .field("retry_tokens", lane_->budget_.tokens_);
+    }
+    event.write();
 }
 
 void proxied_call::finish(bool keep_alive)
