Leave nearly full targets to calls that can be in time; know callers that return

Change: the last chance of a call is a slowed target with capacity; the time that a caller spent before is worked out from its deadline.

--- a/modules/av_limits/patience.cpp
+++ b/modules/av_limits/patience.cpp
@@ -9,12 +9,25 @@
 
 // Part of the objective that a call waits for in any case.
 constexpr double least_wait_share = 0.125;
+// Part of its time left for which a late call waits before it is told to come
+// back.
+constexpr double late_wait_share = 0.3;
+// Deadlines that differ by less are of callers that come for the first time.
+constexpr double same_deadline_share = 0.03;
 // Callers wait for a third of the time that they have left at most.
 constexpr double longest_delay_share = 1.0 / 3.0;
 constexpr double shortest_delay_share = 0.1;
 
 } // namespace
 
+milliseconds time_spent_before(milliseconds longest_deadline,
+                               milliseconds deadline) noexcept
+{
+    const auto spent = longest_deadline - deadline;
+    const bool is_first = spent <= longest_deadline * same_deadline_share;
+    return is_first ? milliseconds(0.0) : spent;
+}
+
 milliseconds give_up_point(const wait_facts& facts) noexcept
 {
     const auto latest = facts.deadline_ - facts.usual_time_;
@@ -22,7 +35,13 @@
     {
         return latest;
     }
-    const auto in_time = facts.arrived_ + facts.objective_ - facts.usual_time_;
+    const auto in_time = facts.arrived_ - facts.spent_before_ +
+                         facts.objective_ - facts.usual_time_;
+    if (facts.spent_before_.count() > 0.0 && in_time <= facts.arrived_)
+    {
+        const auto left = facts.deadline_ - facts.arrived_;
+        return std::min(latest, facts.arrived_ + left * late_wait_share);
+    }
     const auto least = facts.arrived_ + facts.objective_ * least_wait_share;
     return std::min(latest, std::max(in_time, least));
 }
--- a/modules/av_limits/patience.hpp
+++ b/modules/av_limits/patience.hpp
@@ -14,10 +14,18 @@
     milliseconds deadline_;
     // The latency objective of its rule; zero if there is none.
     milliseconds objective_{0.0};
+    // Time that the caller has spent on earlier attempts of its own.
+    milliseconds spent_before_{0.0};
     // Time that nearly all calls of the service stay below at a target.
     milliseconds usual_time_{0.0};
 };
 
+// Returns how long ago the caller began with this call: callers that come back
+// after a refusal bring a shorter deadline than those that come for the first
+// time, whose deadline is the longest that was seen.
+milliseconds time_spent_before(milliseconds longest_deadline,
+                               milliseconds deadline) noexcept;
+
 // Returns the point until which the call waits for a target. With a latency
 // objective it is refused once it would miss that, so that the caller learns
 // early when to come back; it waits for a small part of the objective in any
--- a/modules/av_limits/tests/patience_test.cpp
+++ b/modules/av_limits/tests/patience_test.cpp
@@ -46,6 +46,25 @@
     BOOST_TEST((give_up_point(facts) == milliseconds(3710.0)));
 }
 
+// Callers that were refused in a burst and come back while it lasts.
+BOOST_AUTO_TEST_CASE(a_caller_that_comes_back_late_waits_for_what_is_left)
+{
+    const milliseconds longest(2500.0);
+    BOOST_TEST((time_spent_before(longest, milliseconds(2480.0)) ==
+                milliseconds(0.0)));
+    wait_facts facts;
+    facts.arrived_ = milliseconds(1000.0);
+    facts.deadline_ = milliseconds(2600.0);
+    facts.objective_ = milliseconds(300.0);
+    facts.usual_time_ = milliseconds(120.0);
+    facts.spent_before_ = time_spent_before(longest, milliseconds(1600.0));
+    BOOST_TEST((facts.spent_before_ == milliseconds(900.0)));
+    BOOST_TEST((give_up_point(facts) == milliseconds(1480.0)));
+    // One that comes back at once can still be in time.
+    facts.spent_before_ = milliseconds(80.0);
+    BOOST_TEST((give_up_point(facts) == milliseconds(1100.0)));
+}
+
 RC_BOOST_PROP(no_call_waits_beyond_what_its_deadline_allows, ())
 {
     wait_facts facts;
@@ -54,6 +73,7 @@
         facts.arrived_ + milliseconds(*rc::gen::inRange(1, 20000));
     facts.objective_ = milliseconds(*rc::gen::inRange(0, 5000));
     facts.usual_time_ = milliseconds(*rc::gen::inRange(0, 5000));
+    facts.spent_before_ = milliseconds(*rc::gen::inRange(0, 20000));
     RC_ASSERT(give_up_point(facts) <= facts.deadline_ - facts.usual_time_);
 }
 
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -76,6 +76,9 @@
     {
         allowed = std::min(allowed, rule_->timeout_);
     }
+    spent_before_ = head.deadline_ ? worker_.time_spent_before(rule_->name_,
+                                                               *head.deadline_)
+                                   : milliseconds(0.0);
     deadline_ = started_at_ + allowed;
     if (head.expects_continue_)
     {
@@ -260,22 +263,31 @@
 }
 
 milliseconds proxied_call::begin_wait(milliseconds usual_time)
+{
+    usual_time_ = usual_time;
+    wait_began_at_ = worker_.now();
+    give_up_at_ = give_up_point(wait_terms());
+    link_.update_timer();
+    return give_up_at_;
+}
+
+wait_facts proxied_call::wait_terms() const
 {
     wait_facts facts;
     facts.arrived_ = started_at_;
     facts.deadline_ = deadline_;
     facts.objective_ = objective_;
-    facts.usual_time_ = usual_time;
-    wait_began_at_ = worker_.now();
-    give_up_at_ = give_up_point(facts);
-    link_.update_timer();
-    return give_up_at_;
+    facts.spent_before_ = spent_before_;
+    facts.usual_time_ = usual_time_;
+    return facts;
 }
 
 milliseconds proxied_call::objective_left(milliseconds now) const
 {
     const bool has_objective = objective_.count() > 0.0;
-    return (has_objective ? started_at_ + objective_ : deadline_) - now;
+    return (has_objective ? started_at_ - spent_before_ + objective_
+                          : deadline_) -
+           now;
 }
 
 double proxied_call::patience_spent(milliseconds now) const
@@ -460,6 +472,9 @@
     holds_answer_ = false;
     attempts_ = 0;
     runs_ = 0;
+    spent_before_ = milliseconds(0.0);
+    objective_ = milliseconds(0.0);
+    usual_time_ = milliseconds(0.0);
     excluded_.clear();
     last_failure_.reset();
     vm_outcome_.clear();
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -8,6 +8,7 @@
 #include <av_core/milliseconds.hpp>
 #include <av_http/request_head.hpp>
 #include <av_limits/call_queue.hpp>
+#include <av_limits/patience.hpp>
 #include <av_proxy/attempt_observer.hpp>
 #include <av_proxy/caller_link.hpp>
 #include <av_proxy/routing_table.hpp>
@@ -92,6 +93,7 @@
     void reset();
     void name_call();
     std::optional<error_kind> find_service();
+    wait_facts wait_terms() const;
     bool answer_own_path();
     void answer_ready_check();
     void seek_target();
@@ -143,6 +145,8 @@
     milliseconds wait_began_at_;
     milliseconds give_up_at_;
     milliseconds objective_;
+    milliseconds spent_before_;
+    milliseconds usual_time_;
     bool idempotent_ = false;
     int most_attempts_ = 0;
     milliseconds connect_due_;
--- a/modules/av_proxy/worker.cpp
+++ b/modules/av_proxy/worker.cpp
@@ -303,6 +303,14 @@
     return rule.split_[part].service_;
 }
 
+milliseconds worker::time_spent_before(const std::string& rule,
+                                       milliseconds deadline)
+{
+    auto& longest = longest_deadlines_[rule];
+    longest = std::max(longest, deadline);
+    return anvilturn::time_spent_before(longest, deadline);
+}
+
 void worker::on_target_answered(const std::string& service)
 {
     const auto found = lanes_.find(service);
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -119,6 +119,10 @@
     // then those of others.
     void on_slot_freed(const std::shared_ptr<service_state>& service);
 
+    // Returns how long ago the caller of a call with this deadline began.
+    milliseconds time_spent_before(const std::string& rule,
+                                   milliseconds deadline);
+
     // A target of the service answered a question for its load, or did not.
     void on_target_answered(const std::string& service);
 
@@ -199,6 +203,8 @@
     // Calls of each rule that is split, and where this VM begins.
     absl::flat_hash_map<std::string, std::uint64_t> split_calls_;
     double split_phase_;
+    // The longest deadline that was seen of each rule.
+    absl::flat_hash_map<std::string, milliseconds> longest_deadlines_;
     target_asker asker_;
     bool finished_ = false;
     unsigned ticks_ = 0;
--- a/modules/av_routing/ask_first_policy.cpp
+++ b/modules/av_routing/ask_first_policy.cpp
@@ -75,11 +75,6 @@
     return load_of(target) + 1.0 <= target.best_concurrency_;
 }
 
-bool has_free_slot(const target_view& target) noexcept
-{
-    return load_of(target) + 1.0 <= target.slots_;
-}
-
 // Whether a call is expected to meet its objective there.
 bool is_in_time(const choice_input& input, const target_view& target) noexcept
 {
@@ -127,7 +122,7 @@
 
 // Chooses a target of the own failure domain that serves the call in time;
 // then, once part of the call's patience is spent, one of another domain; and
-// before the call is refused, any with a free slot.
+// before the call is refused, a slowed one.
 std::optional<std::size_t> choose_asked(const choice_input& input)
 {
     const bool waits = input.awaits_answers_;
@@ -155,7 +150,7 @@
     }
     if (!chosen && is_last_chance(input))
     {
-        chosen = cheapest(input, has_free_slot);
+        chosen = cheapest(input, has_capacity);
     }
     return chosen;
 }
