--- a/modules/av_limits/patience.cpp
+++ b/modules/av_limits/patience.cpp
@@ -14,10 +14,6 @@
 constexpr double late_wait_share = 0.3;
 // Deadlines that differ by less are of callers that come for the first time.
 constexpr double same_deadline_share = 0.03;
-// Work of one kind differs by less than this factor.
-constexpr double attempt_timeout_factor = 4.0;
-// For the ways and for machines that are busy themselves.
-constexpr milliseconds attempt_timeout_margin(20.0);
 // Callers wait for a third of the time that they have left at most.
 constexpr double longest_delay_share = 1.0 / 3.0;
 constexpr double shortest_delay_share = 0.1;
@@ -50,16 +46,6 @@
     return std::min(latest, std::max(in_time, least));
 }
 
-milliseconds attempt_timeout(milliseconds usual_time, double slowdown) noexcept
-{
-    if (usual_time.count() <= 0.0)
-    {
-        return milliseconds(0.0);
-    }
-    return usual_time * (std::max(1.0, slowdown) * attempt_timeout_factor) +
-           attempt_timeout_margin;
-}
-
 milliseconds delay_before_return(milliseconds time_left, double random) noexcept
 {
     const double share = shortest_delay_share +
--- a/modules/av_limits/patience.hpp
+++ b/modules/av_limits/patience.hpp
@@ -32,12 +32,6 @@
 // case. Never later than the deadline allows.
 milliseconds give_up_point(const wait_facts& facts) noexcept;
 
-// Returns how long one attempt of an idempotent call waits for its answer
-// before another target is tried: longer than nearly all calls take at a target
-// whose machine slows work down by that factor. Zero if the usual time is
-// unknown.
-milliseconds attempt_timeout(milliseconds usual_time, double slowdown) noexcept;
-
 // Returns the value of Retry-After for a call that was refused for want of
 // room: a random time within the part of the caller's time left that callers
 // wait for, so that calls refused together don't return together. Random is
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -185,8 +185,7 @@
     {
         return std::min(deadline_, connect_due_);
     }
-    return connection_ == nullptr ? deadline_
-                                  : std::min(deadline_, attempt_due_);
+    return deadline_;
 }
 
 void proxied_call::on_due()
@@ -196,24 +195,10 @@
         refuse(error_kind::deadline_unreachable);
         return;
     }
-    if (worker_.now() >= deadline_)
-    {
-        end_attempt(error_kind::deadline_exceeded, false);
-        return;
-    }
-    if (connecting_)
-    {
-        end_attempt(error_kind::target_unreachable, false);
-        return;
-    }
-    const bool began_to_answer =
-        holds_answer_ || life_.phase() == call_phase::answering;
-    if (began_to_answer || !may_try_elsewhere())
-    {
-        attempt_due_ = deadline_;
-        return;
-    }
-    end_attempt(error_kind::target_answer_lost, false);
+    const bool too_late = worker_.now() >= deadline_;
+    end_attempt(too_late ? error_kind::deadline_exceeded
+                         : error_kind::target_unreachable,
+                false);
 }
 
 bool proxied_call::is_active() const
@@ -639,9 +624,6 @@
     connecting_ = true;
     connect_due_ =
         attempt_started_at_ + worker_.core().settings_.connect_timeout_;
-    const auto limit = attempt_timeout(usual_time_, slowdown_at_start_);
-    attempt_due_ =
-        to_vm || limit.count() <= 0.0 ? deadline_ : attempt_started_at_ + limit;
     trace_attempt();
     connection_ = worker_.connect(target);
     connection_->begin(*this, is_head_request_, call_id_);
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -150,8 +150,6 @@
     bool idempotent_ = false;
     int most_attempts_ = 0;
     milliseconds connect_due_;
-    // When another target is tried though this one may answer yet.
-    milliseconds attempt_due_;
 
     // The part of the request's body that is held, and how much of it this
     // attempt was given.
