Compress what watchers tell; ask where they stand before all is told

Change: messages of 512 bytes or more are compressed (zlib); a first subscription only asks for the watcher's failure domain.

--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -5,6 +5,7 @@
 find_package(yaml-cpp REQUIRED)
 find_package(docopt REQUIRED)
 find_package(nlohmann_json 3.11 REQUIRED)
+find_package(ZLIB REQUIRED)
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(CAPNP REQUIRED IMPORTED_TARGET capnp-rpc)
 pkg_check_modules(OPENSSL_CRYPTO REQUIRED IMPORTED_TARGET libcrypto)
@@ -26,4 +27,4 @@
 target_link_libraries(anvilturn_dependencies INTERFACE
   Threads::Threads Boost::boost Boost::system
   absl::status absl::statusor absl::strings absl::flat_hash_map absl::hash
-  yaml-cpp docopt nlohmann_json::nlohmann_json PkgConfig::CAPNP PkgConfig::OPENSSL_CRYPTO)
+  yaml-cpp docopt nlohmann_json::nlohmann_json ZLIB::ZLIB PkgConfig::CAPNP PkgConfig::OPENSSL_CRYPTO)
--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -257,7 +257,13 @@
         };
         client_ = std::make_unique<mirror_client>(
             context_, options_.service_defaults_, std::move(handlers));
-        client_->start(watchers_[*watcher_].address_, position_);
+        // Where a watcher stands is asked first, since all that it has to tell
+        // is long and costly from another failure domain.
+        const auto& watcher = watchers_[*watcher_];
+        greets_ = !watcher.failure_domain_ && watchers_.size() > 1;
+        auto position = position_;
+        position.only_greets_ = greets_;
+        client_->start(watcher.address_, position);
     }
 
     void search_later()
@@ -276,12 +282,16 @@
     bool take_update(const registry_update& update)
     {
         auto& watcher = watchers_[*watcher_];
+        watcher.failure_domain_ = update.failure_domain_;
+        if (greets_)
+        {
+            return false;
+        }
         const bool is_starting = update.epoch_ == 0;
         if (is_starting)
         {
             return !told_;
         }
-        watcher.failure_domain_ = update.failure_domain_;
         const bool is_stale = update.store_silent_ > longest_store_silence ||
                               update.store_revision_ < revision_;
         if (is_stale)
@@ -335,9 +345,11 @@
     {
         auto& watcher = watchers_[*watcher_];
         const auto now = monotonic_now();
+        const bool was_greeted =
+            std::exchange(greets_, false) && watcher.failure_domain_;
         const bool for_better = has_better_watcher(
             watchers_, *watcher_, options_.failure_domain_, now);
-        if (!for_better)
+        if (!for_better && !was_greeted)
         {
             note_failure(watcher, now);
         }
@@ -386,6 +398,8 @@
     std::optional<std::size_t> watcher_;
     mirror_position position_;
     bool told_ = false;
+    // Whether the subscription only asks where the watcher stands.
+    bool greets_ = false;
     store_session store_;
     mirror_server server_;
     std::unique_ptr<mirror_client> client_;
--- a/modules/av_mirror/av_mirror.hpp
+++ b/modules/av_mirror/av_mirror.hpp
@@ -2,7 +2,7 @@
 // that calls to the store don't grow with the fleet. Its headers include Asio:
 // include them in source files only.
 // Depends on: av_core, av_model, av_net, av_registry, Boost.Asio, Cap'n Proto
-// (behind .cpp files).
+// and zlib (behind .cpp files).
 
 #ifndef AV_MIRROR_AV_MIRROR_HPP
 #define AV_MIRROR_AV_MIRROR_HPP
--- a/modules/av_mirror/mirror.capnp
+++ b/modules/av_mirror/mirror.capnp
@@ -13,6 +13,8 @@
   epoch @0 :UInt64;
   sequence @1 :UInt64;
   releaseVersion @2 :UInt64;
+  # The subscriber only wants to know where the watcher stands.
+  greeting @3 :Bool;
 }
 
 struct RegisteredTarget {
--- a/modules/av_mirror/mirror.capnp.h
+++ b/modules/av_mirror/mirror.capnp.h
@@ -38,7 +38,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8548c593ff263953, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8548c593ff263953, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -160,6 +160,8 @@
 
   inline  ::uint64_t getReleaseVersion() const;
 
+  inline bool getGreeting() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -197,6 +199,9 @@
   inline  ::uint64_t getReleaseVersion();
   inline void setReleaseVersion( ::uint64_t value);
 
+  inline bool getGreeting();
+  inline void setGreeting(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -959,6 +964,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Subscription::Reader::getGreeting() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool Subscription::Builder::getGreeting() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void Subscription::Builder::setGreeting(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RegisteredTarget::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/modules/av_mirror/mirror_server.cpp
+++ b/modules/av_mirror/mirror_server.cpp
@@ -229,8 +229,15 @@
                 owner_.drop(shared_from_this());
                 return;
             }
-            position_ = *position;
-            tell(nullptr);
+            if (position->only_greets_)
+            {
+                send(owner_.starting_frame());
+            }
+            else
+            {
+                position_ = *position;
+                tell(nullptr);
+            }
             watch_for_close();
         }
 
@@ -311,7 +318,8 @@
     {
         return {log_.epoch_,
                 log_.sequence_,
-                log_.release_ ? log_.release_->version_ : 0};
+                log_.release_ ? log_.release_->version_ : 0,
+                false};
     }
 
     shared_frame frame_since(const mirror_position& since) const
@@ -327,10 +335,12 @@
         return log_.release_ && log_.store_revision_ > 0;
     }
 
-    static shared_frame starting_frame()
+    // Says where this VM stands, and nothing else.
+    shared_frame starting_frame() const
     {
-        return std::make_shared<const std::string>(
-            write_update(registry_update()));
+        registry_update update;
+        update.failure_domain_ = log_.failure_domain_;
+        return std::make_shared<const std::string>(write_update(update));
     }
 
     // All subscribers stand at the same position once they were told first.
--- a/modules/av_mirror/tests/mirror_test.cpp
+++ b/modules/av_mirror/tests/mirror_test.cpp
@@ -160,8 +160,8 @@
     registry_log log;
     log.epoch_ = 5;
     record_release(log, make_release(3));
-    BOOST_TEST((update_since(log, {5, 0, 2}).release_ != nullptr));
-    BOOST_TEST((update_since(log, {5, 0, 3}).release_ == nullptr));
+    BOOST_TEST((update_since(log, {5, 0, 2, false}).release_ != nullptr));
+    BOOST_TEST((update_since(log, {5, 0, 3, false}).release_ == nullptr));
 }
 
 RC_BOOST_PROP(changes_lead_where_the_whole_does, ())
@@ -200,7 +200,7 @@
         {
             take_changes(follower, update.changes_, milliseconds(0.0));
         }
-        position = {update.epoch_, update.sequence_, 0};
+        position = {update.epoch_, update.sequence_, 0, false};
         std::map<std::string, target_spec> expected;
         for (const auto& entry : targets)
         {
@@ -256,6 +256,40 @@
     BOOST_TEST(vms.updates_.back().changes_.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_greeting_is_answered_by_the_domain_alone)
+{
+    pair_of_vms vms;
+    vms.server_.publish_release(make_release(3));
+    vms.server_.publish_targets({{"a", target("a", 7)}}, 7);
+    mirror_position greeting;
+    greeting.only_greets_ = true;
+    vms.subscribe(greeting);
+    vms.run_until(
+        [&]
+        {
+            return !vms.updates_.empty();
+        });
+    BOOST_TEST(vms.updates_[0].failure_domain_ == "a");
+    BOOST_TEST(vms.updates_[0].epoch_ == 0U);
+    BOOST_TEST((vms.updates_[0].release_ == nullptr));
+}
+
+// A configuration that grows by many routes.
+BOOST_AUTO_TEST_CASE(large_updates_are_compressed)
+{
+    release large = *make_release(3);
+    for (int i = 0; i < 2000; ++i)
+    {
+        auto rule = large.rules_.at("kits");
+        rule.name_ = "kits.example/route-" + std::to_string(i) + "/";
+        large.rules_[rule.name_] = rule;
+    }
+    registry_update update;
+    update.release_ = std::make_shared<const release>(large);
+    BOOST_TEST(write_update(update).size() < 100'000U);
+    BOOST_TEST((*through_the_codec(update).release_ == large));
+}
+
 BOOST_AUTO_TEST_CASE(an_update_that_is_refused_ends_the_subscription)
 {
     pair_of_vms vms;
--- a/modules/av_mirror/update_codec.cpp
+++ b/modules/av_mirror/update_codec.cpp
@@ -5,6 +5,7 @@
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
+#include <zlib.h>
 
 #include <algorithm>
 #include <cstring>
@@ -16,6 +17,8 @@
 {
 
 constexpr unsigned bits_per_byte = 8;
+// Shorter messages gain little.
+constexpr std::size_t least_compressed_bytes = 512;
 
 capnp::Text::Reader to_text(const std::string& value)
 {
@@ -27,18 +30,89 @@
     return {text.begin(), text.size()};
 }
 
+// Returns the bytes compressed behind their length; nothing if they are few or
+// don't get fewer.
+std::string compress_large(std::string_view bytes)
+{
+    if (bytes.size() < least_compressed_bytes)
+    {
+        return {};
+    }
+    auto size = ::compressBound(bytes.size());
+    std::string result(size, '\0');
+    const int status = ::compress2(reinterpret_cast<Bytef*>(result.data()),
+                                   &size,
+                                   reinterpret_cast<const Bytef*>(bytes.data()),
+                                   bytes.size(),
+                                   Z_BEST_SPEED);
+    if (status != Z_OK || size >= bytes.size())
+    {
+        return {};
+    }
+    result.resize(size);
+    return result;
+}
+
+void append_length(std::string& frame, std::size_t length)
+{
+    for (unsigned i = 0; i < frame_header_bytes; ++i)
+    {
+        frame += static_cast<char>(length >> (i * bits_per_byte));
+    }
+}
+
+// A body begins with the length of its message if that is compressed, else
+// with zero.
 std::string to_frame(capnp::MessageBuilder& message)
 {
     const auto words = capnp::messageToFlatArray(message);
-    const auto bytes = words.asBytes();
+    const auto array = words.asBytes();
+    const std::string_view bytes(reinterpret_cast<const char*>(array.begin()),
+                                 array.size());
+    const auto compressed = compress_large(bytes);
+    const auto& content = compressed.empty() ? bytes : compressed;
     std::string frame;
-    frame.reserve(frame_header_bytes + bytes.size());
-    for (unsigned i = 0; i < frame_header_bytes; ++i)
+    frame.reserve(2 * frame_header_bytes + content.size());
+    append_length(frame, frame_header_bytes + content.size());
+    append_length(frame, compressed.empty() ? 0 : bytes.size());
+    frame.append(content);
+    return frame;
+}
+
+absl::Status malformed(const std::string& what)
+{
+    return make_error(error_kind::peer_malformed,
+                      "a message of a watcher: " + what);
+}
+
+// Returns the message of a body.
+absl::StatusOr<std::string> open_body(std::string_view body)
+{
+    if (body.size() < frame_header_bytes)
     {
-        frame += static_cast<char>(bytes.size() >> (i * bits_per_byte));
+        return malformed("too short");
     }
-    frame.append(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
-    return frame;
+    const auto length = frame_length(body);
+    body.remove_prefix(frame_header_bytes);
+    if (length == 0)
+    {
+        return std::string(body);
+    }
+    if (length > longest_frame_bytes)
+    {
+        return malformed("too long");
+    }
+    std::string message(length, '\0');
+    uLongf size = length;
+    const int status = ::uncompress(reinterpret_cast<Bytef*>(message.data()),
+                                    &size,
+                                    reinterpret_cast<const Bytef*>(body.data()),
+                                    body.size());
+    if (status != Z_OK || size != length)
+    {
+        return malformed("can't be decompressed");
+    }
+    return message;
 }
 
 // Cap'n Proto reads whole, aligned words.
@@ -177,9 +251,14 @@
 template <typename Value, typename Read>
 absl::StatusOr<Value> read_message(std::string_view bytes, Read read)
 {
+    const auto message_bytes = open_body(bytes);
+    if (!message_bytes.ok())
+    {
+        return message_bytes.status();
+    }
     try
     {
-        const auto words = to_words(bytes);
+        const auto words = to_words(*message_bytes);
         capnp::ReaderOptions options;
         options.traversalLimitInWords =
             longest_frame_bytes / sizeof(capnp::word);
@@ -188,9 +267,7 @@
     }
     catch (const kj::Exception& error)
     {
-        return make_error(error_kind::peer_malformed,
-                          std::string("a message of a watcher: ") +
-                              error.getDescription().cStr());
+        return malformed(error.getDescription().cStr());
     }
 }
 
@@ -203,6 +280,7 @@
     builder.setEpoch(position.epoch_);
     builder.setSequence(position.sequence_);
     builder.setReleaseVersion(position.release_version_);
+    builder.setGreeting(position.only_greets_);
     return to_frame(message);
 }
 
@@ -255,6 +333,7 @@
             position.epoch_ = reader.getEpoch();
             position.sequence_ = reader.getSequence();
             position.release_version_ = reader.getReleaseVersion();
+            position.only_greets_ = reader.getGreeting();
             return position;
         });
 }
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -4,7 +4,7 @@
 packages=(cmake ninja-build g++ clang-format clang-tidy pkg-config ccache mold
   libboost-dev libboost-system-dev libboost-test-dev libcapnp-dev capnproto
   libdocopt-dev libeasyloggingpp-dev libabsl-dev libyaml-cpp-dev
-  librapidcheck-dev libssl-dev nlohmann-json3-dev python3 curl)
+  librapidcheck-dev libssl-dev nlohmann-json3-dev zlib1g-dev python3 curl)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null |
