--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -11,12 +11,14 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import http.client
 import json
 import os
 import pathlib
 import re
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -34,6 +36,9 @@
 # First three numbers of the addresses; each fleet takes one half of the /24.
 NETWORK = os.environ.get("ANVILTURN_NETWORK", "127.0.21")
 HALF = 128
+# An address that no fleet uses, bound to show that the network is taken.
+CLAIMED_HOST = 255
+CLAIMED_PORT = 47001
 
 Figures = dict[str, float]
 
@@ -98,6 +103,20 @@
         return (idle - self._start[0]) / max(1, total - self._start[1])
 
 
+@functools.lru_cache(maxsize=None)
+def claim_network(network: str) -> socket.socket:
+    """Holds the network for this process: VMs of two fleets on one network
+    would join each other, and spoil the figures of both."""
+    claim = socket.socket()
+    try:
+        claim.bind((f"{network}.{CLAIMED_HOST}", CLAIMED_PORT))
+    except OSError as failure:
+        raise FleetError(
+            f"another fleet runs on {network}; set ANVILTURN_NETWORK to "
+            "another network, such as 127.0.22") from failure
+    return claim
+
+
 @dataclasses.dataclass
 class Usage:
     """What a process used so far."""
@@ -175,6 +194,7 @@
     def __init__(self, deployment: Deployment, vm_count: int,
                  options: FleetOptions = FleetOptions(),
                  build: pathlib.Path = BUILD, first: int = 0) -> None:
+        claim_network(NETWORK)
         self.deployment = deployment
         self.options = options
         self.platform = f"{NETWORK}.{first + 1}:9000"
