Stay with a watcher while the store is away; ask the others where they stand

All three watchers lose it at once and say so. Each of the 187 other VMs left its watcher ("what it tells is out of date"), subscribed to the next with a position of another epoch, was told everything, refused it, and went on so each second; and each asked the store itself about ten times.

Change: a greeting tells how long the store has been silent to the watcher. A VM whose watcher is out of step greets the others and takes one that is answered; if none is, it stays with the nearest and asks again each 3 s. What it left meanwhile or listed itself makes it ask anew (whole, if it listed). VMs that are no watchers ask the store at 0.8, 2.4, 5.6 s instead of 0.1, 0.3, 0.7 ...

--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -26,11 +26,16 @@
 
 // Others rely on a watcher's word, which must not be older than
 // longest_store_silence, and a watcher has nobody else to hear of changes from.
-constexpr store_pace watcher_pace{
-    milliseconds(400.0), milliseconds(300.0), milliseconds(0.0)};
-// After an outage the watchers are back in step within the delay.
-constexpr store_pace usual_pace{
-    milliseconds(1500.0), milliseconds(1000.0), milliseconds(1200.0)};
+constexpr store_pace watcher_pace{milliseconds(400.0),
+                                  milliseconds(100.0),
+                                  milliseconds(300.0),
+                                  milliseconds(0.0)};
+// The watchers are the first to know when the store is back, and in step again
+// within the delay: the calls of all others would only be paid for.
+constexpr store_pace usual_pace{milliseconds(1500.0),
+                                milliseconds(800.0),
+                                milliseconds(4000.0),
+                                milliseconds(1200.0)};
 // Time without a watcher after which a VM follows the store itself; at the
 // start the watchers start too.
 constexpr milliseconds patience_at_start{1500.0};
@@ -38,6 +43,14 @@
 // How often a VM that hears no watcher looks for one.
 constexpr milliseconds search_period{500.0};
 
+enum class subscription_end
+{
+    // The watcher can't be reached or tells what is out of date.
+    failed,
+    // This VM looks for a better one, or asks this one anew.
+    left
+};
+
 } // namespace
 
 class registry_control::implementation
@@ -123,6 +136,9 @@
             [this](const std::vector<listed_target>& objects)
         {
             take_listing(registry_, objects, monotonic_now());
+            // What a watcher told before is no base for what changes.
+            position_ = {};
+            base_lost_ = true;
             take_targets(store_.target_revision());
         };
         result.on_target_changes_ =
@@ -239,8 +255,10 @@
     // Subscribes to a watcher that was not found wanting lately.
     void search()
     {
-        watcher_ = choose_watcher(
-            watchers_, options_.failure_domain_, random_(), monotonic_now());
+        watcher_ = choose_watcher(watchers_,
+                                  options_.failure_domain_,
+                                  first_choice(),
+                                  monotonic_now());
         if (!watcher_)
         {
             search_later();
@@ -253,19 +271,30 @@
         };
         handlers.on_end_ = [this](const std::string& reason)
         {
-            lose_watcher(reason);
+            end_subscription(reason);
         };
         client_ = std::make_unique<mirror_client>(
             context_, options_.service_defaults_, std::move(handlers));
-        // Where a watcher stands is asked first, since all that it has to tell
-        // is long and costly from another failure domain.
         const auto& watcher = watchers_[*watcher_];
-        greets_ = !watcher.failure_domain_ && watchers_.size() > 1;
+        greets_ =
+            watchers_.size() > 1 && needs_greeting(watcher, monotonic_now());
+        ending_ = subscription_end::failed;
+        base_lost_ = false;
         auto position = position_;
         position.only_greets_ = greets_;
         client_->start(watcher.address_, position);
     }
 
+    // A watcher that was heard and is only out of step is kept to, since what
+    // it tells next is short; otherwise VMs spread over the watchers.
+    std::size_t first_choice()
+    {
+        const bool keeps =
+            last_told_by_ &&
+            is_out_of_step(watchers_[*last_told_by_], monotonic_now());
+        return keeps ? *last_told_by_ : random_();
+    }
+
     void search_later()
     {
         search_timer_.expires_after(to_duration(search_period));
@@ -282,31 +311,39 @@
     bool take_update(const registry_update& update)
     {
         auto& watcher = watchers_[*watcher_];
+        const auto now = monotonic_now();
+        const bool in_step = update.store_silent_ <= longest_store_silence;
         watcher.failure_domain_ = update.failure_domain_;
+        note_word(watcher, in_step, greets_, now);
         if (greets_)
         {
+            ending_ = subscription_end::left;
             return false;
         }
-        const bool is_starting = update.epoch_ == 0;
-        if (is_starting)
+        if (!in_step)
         {
-            return !told_;
+            return stay_out_of_step(update, now);
         }
-        const bool is_stale = update.store_silent_ > longest_store_silence ||
-                              update.store_revision_ < revision_;
-        if (is_stale)
+        if (base_lost_ && !update.whole_)
+        {
+            ending_ = subscription_end::left;
+            return false;
+        }
+        if (update.store_revision_ < revision_)
         {
             return false;
         }
-        const auto now = monotonic_now();
         if (has_better_watcher(
                 watchers_, *watcher_, options_.failure_domain_, now))
         {
+            note_silence("a nearer watcher can be asked again", now);
+            ending_ = subscription_end::left;
             return false;
         }
         apply(update, now);
         if (!std::exchange(told_, true))
         {
+            last_told_by_ = watcher_;
             patience_timer_.cancel();
             store_.stop();
             log_event(log_level::info, "watcher_found")
@@ -318,6 +355,22 @@
         return true;
     }
 
+    // The watcher is there, but the store does not answer it. What it tells
+    // meanwhile is left, so that a later change has no base here. Returns
+    // whether to hear it further.
+    bool stay_out_of_step(const registry_update& update, milliseconds now)
+    {
+        base_lost_ = base_lost_ || update.whole_ || !update.changes_.empty() ||
+                     update.release_;
+        note_silence("the store does not answer it", now);
+        if (stays_with(watchers_, *watcher_, now))
+        {
+            return true;
+        }
+        ending_ = subscription_end::left;
+        return false;
+    }
+
     void apply(const registry_update& update, milliseconds now)
     {
         state_.answered_at_ = now - update.store_silent_;
@@ -341,30 +394,31 @@
         revision_ = std::max(revision_, update.store_revision_);
     }
 
-    void lose_watcher(const std::string& reason)
+    void end_subscription(const std::string& reason)
     {
-        auto& watcher = watchers_[*watcher_];
         const auto now = monotonic_now();
-        const bool was_greeted =
-            std::exchange(greets_, false) && watcher.failure_domain_;
-        const bool for_better = has_better_watcher(
-            watchers_, *watcher_, options_.failure_domain_, now);
-        if (!for_better && !was_greeted)
+        if (ending_ == subscription_end::failed)
         {
-            note_failure(watcher, now);
+            note_failure(watchers_[*watcher_], now);
         }
-        if (std::exchange(told_, false))
+        note_silence(reason, now);
+        search();
+    }
+
+    // This VM is told nothing new from now on.
+    void note_silence(const std::string& reason, milliseconds now)
+    {
+        if (!std::exchange(told_, false))
         {
-            ++state_.watcher_losses_;
-            log_event(log_level::warning, "watcher_lost")
-                .field("address", watcher.address_)
-                .field("reason", reason)
-                .field("store_answered_ago_ms",
-                       (now - state_.answered_at_).count())
-                .write();
-            follow_store_after(patience);
+            return;
         }
-        search();
+        ++state_.watcher_losses_;
+        log_event(log_level::warning, "watcher_lost")
+            .field("address", watchers_[*watcher_].address_)
+            .field("reason", reason)
+            .field("store_answered_ago_ms", (now - state_.answered_at_).count())
+            .write();
+        follow_store_after(patience);
     }
 
     void follow_store_after(milliseconds time)
@@ -398,8 +452,13 @@
     std::optional<std::size_t> watcher_;
     mirror_position position_;
     bool told_ = false;
+    std::optional<std::size_t> last_told_by_;
     // Whether the subscription only asks where the watcher stands.
     bool greets_ = false;
+    // Why this VM ends the subscription, if it does.
+    subscription_end ending_ = subscription_end::failed;
+    // Whether something is missing here of what the changes told follow on.
+    bool base_lost_ = false;
     store_session store_;
     mirror_server server_;
     std::unique_ptr<mirror_client> client_;
--- a/modules/av_feed/retry_pace.cpp
+++ b/modules/av_feed/retry_pace.cpp
@@ -6,10 +6,11 @@
 namespace anvilturn
 {
 
-milliseconds
-retry_pause(int failures, milliseconds longest, double random) noexcept
+milliseconds retry_pause(int failures,
+                         milliseconds first,
+                         milliseconds longest,
+                         double random) noexcept
 {
-    constexpr milliseconds first(100.0);
     constexpr int most_doublings = 6;
     const auto pause =
         first * std::ldexp(1.0, std::clamp(failures - 1, 0, most_doublings));
--- a/modules/av_feed/store_session.cpp
+++ b/modules/av_feed/store_session.cpp
@@ -182,8 +182,10 @@
                 .write();
         }
         std::uniform_real_distribution<double> random(0.0, 1.0);
-        check_after(
-            retry_pause(failures_, pace_.longest_pause_, random(random_)));
+        check_after(retry_pause(failures_,
+                                pace_.first_pause_,
+                                pace_.longest_pause_,
+                                random(random_)));
     }
 
     void check_after(milliseconds pause)
--- a/modules/av_feed/store_session.hpp
+++ b/modules/av_feed/store_session.hpp
@@ -30,7 +30,9 @@
 {
     // Between two signs of life while nothing changes.
     milliseconds check_period_;
-    // The longest pause between two while the store does not answer.
+    // The first and the longest pause between two while the store does not
+    // answer.
+    milliseconds first_pause_;
     milliseconds longest_pause_;
     // From the end of an outage until the collections are listed.
     milliseconds follow_delay_;
--- /dev/null
+++ b/modules/av_feed/tests/registry_control_test.cpp
@@ -0,0 +1,229 @@
+// VMs that hear of the store from watchers: what they do while the store does
+// not answer the watchers. The watchers' side is real, on loopback; the store's
+// calls are scripted. Timers run for real; no case depends on how long.
+
+#include "scripted_store.hpp"
+
+#include <av_feed/registry_control.hpp>
+#include <av_mirror/mirror_server.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace anvilturn;
+using anvilturn::testing::scripted_store;
+
+namespace
+{
+
+constexpr std::chrono::seconds watchdog{30};
+constexpr milliseconds answered_now{5.0};
+constexpr milliseconds silent_for_long{5000.0};
+
+// What a watcher tells, and how long the store is silent to it.
+struct scripted_watcher
+{
+    scripted_watcher(boost::asio::io_context& context,
+                     const std::string& address,
+                     const std::string& failure_domain)
+        : server_(context,
+                  failure_domain,
+                  [this]
+                  {
+                      return silence_;
+                  })
+    {
+        BOOST_TEST_REQUIRE(server_.start(address).ok());
+    }
+
+    void publish(release_version version,
+                 const std::vector<std::string>& targets,
+                 store_revision revision)
+    {
+        auto value = std::make_shared<release>();
+        value->version_ = version;
+        server_.publish_release(std::move(value));
+        std::map<std::string, registered_target> registered;
+        for (const auto& name : targets)
+        {
+            registered[name].spec_.name_ = name;
+            registered[name].revision_ = revision;
+        }
+        server_.publish_targets(registered, revision);
+    }
+
+    milliseconds silence_ = answered_now;
+    mirror_server server_;
+};
+
+// A VM of failure domain a, a watcher there and one in domain b.
+struct told_vm
+{
+    told_vm()
+        : store_(context_)
+        , near_(context_, "127.0.30.8:0", "a")
+        , far_(context_, "127.0.30.9:0", "b")
+    {
+        store_.put_release(3);
+        for (auto* watcher : {&near_, &far_})
+        {
+            watcher->publish(3, {"x", "y"}, 10);
+        }
+        registry_options options;
+        options.failure_domain_ = "a";
+        options.watchers_ = {near_.server_.address(), far_.server_.address()};
+        registry_handlers handlers;
+        handlers.on_release_ = [](const auto&) {};
+        handlers.on_targets_ = [this](const auto& targets)
+        {
+            targets_ = targets;
+        };
+        control_ = std::make_unique<registry_control>(
+            context_, options, store_.calls(), std::move(handlers));
+        BOOST_TEST_REQUIRE(control_->start().ok());
+    }
+
+    template <typename Condition>
+    void run_until(Condition condition)
+    {
+        const auto limit = std::chrono::steady_clock::now() + watchdog;
+        while (!condition())
+        {
+            BOOST_TEST_REQUIRE((std::chrono::steady_clock::now() < limit));
+            context_.run_one_for(std::chrono::milliseconds(100));
+        }
+    }
+
+    void run_until_told_by(const scripted_watcher& watcher)
+    {
+        run_until(
+            [&]
+            {
+                return control_->state().watcher_ == watcher.server_.address();
+            });
+    }
+
+    void run_until_checked(int times)
+    {
+        run_until(
+            [&]
+            {
+                return store_.checks_ >= times;
+            });
+    }
+
+    boost::asio::io_context context_;
+    scripted_store store_;
+    scripted_watcher near_;
+    scripted_watcher far_;
+    std::map<std::string, target_spec> targets_;
+    std::unique_ptr<registry_control> control_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(vms_told_by_watchers)
+
+BOOST_AUTO_TEST_CASE(the_watcher_of_the_own_domain_tells)
+{
+    told_vm vm;
+    vm.run_until_told_by(vm.near_);
+    BOOST_TEST(vm.control_->state().version_ == 3U);
+    BOOST_TEST(vm.targets_.size() == 2U);
+    BOOST_TEST(vm.store_.checks_ == 0);
+}
+
+// An outage of the store: all watchers lose it at once. Each VM that left its
+// watcher would take everything anew from another one, and again and again.
+BOOST_AUTO_TEST_CASE(a_vm_stays_with_its_watcher_while_the_store_is_away)
+{
+    told_vm vm;
+    vm.run_until_told_by(vm.near_);
+    vm.store_.down_ = true;
+    vm.near_.silence_ = silent_for_long;
+    vm.far_.silence_ = silent_for_long;
+    vm.run_until_checked(2);
+    BOOST_TEST(vm.control_->state().watcher_.empty());
+    vm.run_until(
+        [&]
+        {
+            return vm.near_.server_.subscribers() == 1 &&
+                   vm.far_.server_.subscribers() == 0;
+        });
+    vm.store_.down_ = false;
+    vm.near_.silence_ = answered_now;
+    vm.far_.silence_ = answered_now;
+    vm.run_until_told_by(vm.near_);
+    BOOST_TEST(vm.control_->state().watcher_losses_ == 1U);
+    BOOST_TEST(vm.store_.targets_.lists_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(another_watcher_is_taken_if_the_store_answers_it)
+{
+    told_vm vm;
+    vm.run_until_told_by(vm.near_);
+    vm.near_.silence_ = silent_for_long;
+    vm.far_.publish(4, {"x"}, 11);
+    vm.run_until_told_by(vm.far_);
+    BOOST_TEST(vm.control_->state().version_ == 4U);
+    BOOST_TEST(vm.targets_.size() == 1U);
+    vm.near_.publish(4, {"x"}, 12);
+    vm.near_.silence_ = answered_now;
+    vm.run_until_told_by(vm.near_);
+}
+
+// The store turns the watchers away and serves this VM.
+BOOST_AUTO_TEST_CASE(a_vm_follows_the_store_if_no_watcher_does)
+{
+    told_vm vm;
+    vm.run_until_told_by(vm.near_);
+    vm.near_.silence_ = silent_for_long;
+    vm.far_.silence_ = silent_for_long;
+    vm.store_.put_release(5);
+    vm.store_.put("z");
+    vm.run_until(
+        [&]
+        {
+            return vm.control_->state().version_ == 5U;
+        });
+    vm.run_until(
+        [&]
+        {
+            return vm.targets_.count("z") == 1;
+        });
+    // What it listed itself is no base for the watcher's changes: it is told
+    // everything anew, and does not keep what has gone meanwhile.
+    vm.near_.publish(5, {"w"}, 20);
+    vm.near_.silence_ = answered_now;
+    vm.run_until_told_by(vm.near_);
+    BOOST_TEST(vm.targets_.size() == 1U);
+    BOOST_TEST(vm.targets_.count("w") == 1U);
+}
+
+// Changes that a watcher out of step tells are left; later ones need them.
+BOOST_AUTO_TEST_CASE(what_was_left_meanwhile_is_told_again)
+{
+    told_vm vm;
+    vm.run_until_told_by(vm.near_);
+    vm.store_.down_ = true;
+    vm.near_.silence_ = silent_for_long;
+    vm.far_.silence_ = silent_for_long;
+    vm.run_until_checked(1);
+    vm.near_.publish(3, {"y"}, 11);
+    vm.run_until_checked(2);
+    vm.near_.publish(3, {"y", "z"}, 12);
+    vm.near_.silence_ = answered_now;
+    vm.run_until_told_by(vm.near_);
+    BOOST_TEST(vm.targets_.size() == 2U);
+    BOOST_TEST(vm.targets_.count("x") == 0U);
+    BOOST_TEST(vm.targets_.count("z") == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/av_feed/tests/store_session_test.cpp
+++ b/modules/av_feed/tests/store_session_test.cpp
@@ -1,13 +1,12 @@
 // The store's calls are scripted: each case says how the store answers. Timers
 // run for real; no case depends on how long.
 
+#include "scripted_store.hpp"
+
 #include <av_feed/av_feed.hpp>
 #include <av_feed/retry_pace.hpp>
 
-#include <av_core/error.hpp>
-
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
@@ -19,158 +18,14 @@
 #include <vector>
 
 using namespace anvilturn;
+using namespace anvilturn::testing;
 
 namespace
 {
 
 constexpr std::chrono::seconds watchdog{20};
-constexpr std::size_t page_size = 2;
 constexpr store_pace test_pace{
-    milliseconds(5.0), milliseconds(5.0), milliseconds(1.0)};
-
-absl::Status away()
-{
-    return make_error(error_kind::platform_unreachable, "scripted");
-}
-
-template <typename Value>
-struct scripted_collection
-{
-    std::map<std::string, listed_object<Value>> objects_;
-    std::function<void(absl::StatusOr<object_changes<Value>>)> watcher_;
-    int lists_ = 0;
-};
-
-// A store of releases and targets that can be told to fail.
-class scripted_store
-{
-public:
-    explicit scripted_store(boost::asio::io_context& context)
-        : context_(context)
-    {
-    }
-
-    store_calls calls()
-    {
-        store_calls result;
-        result.release_name_ = "main";
-        result.releases_ = source(releases_);
-        result.targets_ = source(targets_);
-        result.check_ = [this](milliseconds, auto done)
-        {
-            ++checks_;
-            later(
-                [this, done]
-                {
-                    done(down_ ? away() : absl::OkStatus());
-                });
-        };
-        result.counts_ = []
-        {
-            return store_call_counts();
-        };
-        return result;
-    }
-
-    void put(const std::string& name)
-    {
-        target_spec spec;
-        spec.name_ = name;
-        targets_.objects_[name] = {name, ++revision_, spec, ""};
-    }
-
-    void put_release(release_version version)
-    {
-        release value;
-        value.version_ = version;
-        releases_.objects_["main"] = {"main", ++revision_, value, ""};
-    }
-
-    // Ends the watches that wait, as a store does that goes away.
-    void cut_watches()
-    {
-        if (const auto watcher = std::exchange(releases_.watcher_, nullptr))
-        {
-            watcher(away());
-        }
-        if (const auto watcher = std::exchange(targets_.watcher_, nullptr))
-        {
-            watcher(away());
-        }
-    }
-
-    scripted_collection<release> releases_;
-    scripted_collection<target_spec> targets_;
-    // Watches from an earlier revision are told that history is gone.
-    store_revision oldest_ = 0;
-    bool down_ = false;
-    int checks_ = 0;
-
-private:
-    template <typename Work>
-    void later(Work work)
-    {
-        boost::asio::post(context_, std::move(work));
-    }
-
-    template <typename Value>
-    collection_source<Value> source(scripted_collection<Value>& collection)
-    {
-        collection_source<Value> result;
-        result.list_ = [this, &collection](const std::string& after, auto done)
-        {
-            ++collection.lists_;
-            later(
-                [this, &collection, after, done]
-                {
-                    done(page(collection, after));
-                });
-        };
-        result.watch_ =
-            [this, &collection](store_revision since, milliseconds, auto done)
-        {
-            if (!down_ && since >= oldest_)
-            {
-                collection.watcher_ = done;
-                return;
-            }
-            const auto status =
-                down_ ? away()
-                      : make_error(error_kind::platform_history_gone, "");
-            later(
-                [status, done]
-                {
-                    done(status);
-                });
-        };
-        return result;
-    }
-
-    template <typename Value>
-    absl::StatusOr<listing_page<Value>>
-    page(const scripted_collection<Value>& collection,
-         const std::string& after) const
-    {
-        if (down_)
-        {
-            return away();
-        }
-        listing_page<Value> result;
-        result.revision_ = revision_;
-        auto next = collection.objects_.upper_bound(after);
-        while (next != collection.objects_.end() &&
-               result.objects_.size() < page_size)
-        {
-            result.objects_.push_back(next->second);
-            ++next;
-        }
-        result.has_more_ = next != collection.objects_.end();
-        return result;
-    }
-
-    boost::asio::io_context& context_;
-    store_revision revision_ = 10;
-};
+    milliseconds(5.0), milliseconds(5.0), milliseconds(5.0), milliseconds(1.0)};
 
 // A session that follows such a store.
 struct followed_store
@@ -347,14 +202,15 @@
 
 BOOST_AUTO_TEST_CASE(pauses_grow_to_a_limit_and_differ)
 {
+    const milliseconds first(100.0);
     const milliseconds longest(300.0);
     for (int failures = 1; failures < 100; ++failures)
     {
-        const auto low = retry_pause(failures, longest, 0.0);
-        const auto high = retry_pause(failures, longest, 1.0);
+        const auto low = retry_pause(failures, first, longest, 0.0);
+        const auto high = retry_pause(failures, first, longest, 1.0);
         BOOST_TEST((low < high));
         BOOST_TEST((high <= longest * 1.5));
-        BOOST_TEST((low >= retry_pause(1, longest, 0.0)));
+        BOOST_TEST((low >= retry_pause(1, first, longest, 0.0)));
     }
     BOOST_TEST((check_timeout(2) > check_timeout(1)));
 }
--- a/modules/av_mirror/mirror.capnp
+++ b/modules/av_mirror/mirror.capnp
@@ -13,7 +13,8 @@
   epoch @0 :UInt64;
   sequence @1 :UInt64;
   releaseVersion @2 :UInt64;
-  # The subscriber only wants to know where the watcher stands.
+  # The subscriber only wants to know where the watcher stands and whether the
+  # store answers it.
   greeting @3 :Bool;
 }
 
--- a/modules/av_mirror/mirror_server.cpp
+++ b/modules/av_mirror/mirror_server.cpp
@@ -37,6 +37,8 @@
 constexpr std::size_t longest_backlog = 64;
 constexpr std::size_t most_subscribers = 1024;
 constexpr std::size_t longest_subscription = 4096;
+// The silence of a store that has not told everything yet.
+constexpr milliseconds never_answered{1e9};
 
 std::uint64_t draw_epoch()
 {
@@ -179,7 +181,7 @@
             }
             told_ = owner_.is_in_step();
             send(told_ ? owner_.frame_since(*position_)
-                       : owner_.starting_frame());
+                       : owner_.standing_frame());
         }
 
         void send(const shared_frame& frame)
@@ -231,7 +233,7 @@
             }
             if (position->only_greets_)
             {
-                send(owner_.starting_frame());
+                send(owner_.standing_frame());
             }
             else
             {
@@ -335,11 +337,13 @@
         return log_.release_ && log_.store_revision_ > 0;
     }
 
-    // Says where this VM stands, and nothing else.
-    shared_frame starting_frame() const
+    // Says where this VM stands and whether the store answers it, and nothing
+    // else.
+    shared_frame standing_frame() const
     {
         registry_update update;
         update.failure_domain_ = log_.failure_domain_;
+        update.store_silent_ = is_in_step() ? store_silence_() : never_answered;
         return std::make_shared<const std::string>(write_update(update));
     }
 
--- a/modules/av_mirror/registry_update.hpp
+++ b/modules/av_mirror/registry_update.hpp
@@ -20,7 +20,8 @@
     std::uint64_t epoch_ = 0;
     std::uint64_t sequence_ = 0;
     release_version release_version_ = 0;
-    // Whether only the watcher's failure domain is asked for.
+    // Whether only the watcher's failure domain, and how long the store has not
+    // answered it, is asked for.
     bool only_greets_ = false;
 };
 
--- a/modules/av_mirror/tests/mirror_test.cpp
+++ b/modules/av_mirror/tests/mirror_test.cpp
@@ -245,6 +245,7 @@
             return !vms.updates_.empty();
         });
     BOOST_TEST(vms.updates_[0].epoch_ == 0U);
+    BOOST_TEST((vms.updates_[0].store_silent_ > longest_store_silence));
     vms.server_.publish_release(make_release(3));
     vms.server_.publish_targets({{"a", target("a", 7)}}, 7);
     vms.run_until(
@@ -256,7 +257,7 @@
     BOOST_TEST(vms.updates_.back().changes_.size() == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(a_greeting_is_answered_by_the_domain_alone)
+BOOST_AUTO_TEST_CASE(a_greeting_tells_domain_and_silence_alone)
 {
     pair_of_vms vms;
     vms.server_.publish_release(make_release(3));
@@ -270,6 +271,7 @@
             return !vms.updates_.empty();
         });
     BOOST_TEST(vms.updates_[0].failure_domain_ == "a");
+    BOOST_TEST((vms.updates_[0].store_silent_ == milliseconds(5.0)));
     BOOST_TEST(vms.updates_[0].epoch_ == 0U);
     BOOST_TEST((vms.updates_[0].release_ == nullptr));
 }
--- a/modules/av_registry/tests/watcher_choice_test.cpp
+++ b/modules/av_registry/tests/watcher_choice_test.cpp
@@ -83,6 +83,48 @@
     BOOST_TEST(has_better_watcher(watchers, 0, "a", now + watcher_pause * 8.0));
 }
 
+// The store turns one watcher away for a while.
+BOOST_AUTO_TEST_CASE(one_that_is_out_of_step_goes_last_and_is_not_gone_back_to)
+{
+    auto watchers = three_watchers();
+    watchers[0].failure_domain_ = "a";
+    watchers[1].failure_domain_ = "b";
+    watchers[2].failure_domain_ = "b";
+    note_word(watchers[0], true, false, now);
+    note_word(watchers[0], false, false, now);
+    BOOST_TEST(is_out_of_step(watchers[0], now));
+    BOOST_TEST(*choose_watcher(watchers, "a", 0, now) != 0U);
+    BOOST_TEST(!stays_with(watchers, 0, now));
+    BOOST_TEST(!has_better_watcher(watchers, 1, "a", now));
+    // It says so for as long as it lasts, and is not asked anew meanwhile.
+    const auto later = now + word_validity * 2.0;
+    note_word(watchers[0], false, false, later);
+    BOOST_TEST(!has_better_watcher(watchers, 1, "a", later));
+    BOOST_TEST(watchers[0].failures_ == 1);
+}
+
+// The store is away for all of them.
+BOOST_AUTO_TEST_CASE(
+    with_all_out_of_step_the_nearest_is_kept_and_others_greeted)
+{
+    auto watchers = three_watchers();
+    for (auto& watcher : watchers)
+    {
+        watcher.failure_domain_ = "b";
+        BOOST_TEST(needs_greeting(watcher, now));
+        note_word(watcher, false, true, now);
+        BOOST_TEST(!needs_greeting(watcher, now));
+    }
+    watchers[2].failure_domain_ = "a";
+    BOOST_TEST(*choose_watcher(watchers, "a", 0, now) == 2U);
+    BOOST_TEST(*choose_watcher(watchers, "c", 1, now) == 1U);
+    BOOST_TEST(stays_with(watchers, 2, now));
+    BOOST_TEST(!stays_with(watchers, 2, now + word_validity));
+    note_failure(watchers[0], now + word_validity);
+    note_failure(watchers[1], now + word_validity);
+    BOOST_TEST(stays_with(watchers, 2, now + word_validity));
+}
+
 BOOST_AUTO_TEST_CASE(without_another_choice_a_failed_one_is_asked_soon)
 {
     auto watchers = three_watchers();
--- a/modules/av_registry/watcher_choice.cpp
+++ b/modules/av_registry/watcher_choice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace anvilturn
 {
@@ -36,17 +37,29 @@
                *watcher.failed_at_ + watcher_pause * std::ldexp(1.0, doublings);
 }
 
+bool was_heard_lately(const watcher_record& watcher, milliseconds now)
+{
+    return watcher.heard_at_ && now < *watcher.heard_at_ + word_validity;
+}
+
+// One that is out of step can be reached and will be the first to know more.
 bool may_ask(const watcher_record& watcher, milliseconds now)
 {
-    return !watcher.failed_at_ || now >= *watcher.failed_at_ + watcher_pause;
+    return !watcher.failed_at_ || is_out_of_step(watcher, now) ||
+           now >= *watcher.failed_at_ + watcher_pause;
 }
 
-// Trusted ones go before nearer ones.
+// Those in step go before trusted ones, and these before nearer ones.
 bool is_preferred(const watcher_record& a,
                   const watcher_record& b,
                   const std::string& own_domain,
                   milliseconds now)
 {
+    const bool a_out = is_out_of_step(a, now);
+    if (a_out != is_out_of_step(b, now))
+    {
+        return !a_out;
+    }
     const bool a_trusted = is_trusted(a, now);
     const bool b_trusted = is_trusted(b, now);
     if (a_trusted != b_trusted)
@@ -61,9 +74,51 @@
 void note_failure(watcher_record& watcher, milliseconds now)
 {
     watcher.failed_at_ = now;
+    watcher.heard_at_.reset();
+    watcher.in_step_ = false;
     ++watcher.failures_;
 }
 
+void note_word(watcher_record& watcher,
+               bool in_step,
+               bool was_greeting,
+               milliseconds now)
+{
+    const bool was_in_step = std::exchange(watcher.in_step_, in_step);
+    watcher.heard_at_ = now;
+    if (!in_step && (was_in_step || was_greeting))
+    {
+        watcher.failed_at_ = now;
+        ++watcher.failures_;
+    }
+}
+
+bool is_out_of_step(const watcher_record& watcher, milliseconds now)
+{
+    return was_heard_lately(watcher, now) && !watcher.in_step_;
+}
+
+bool needs_greeting(const watcher_record& watcher, milliseconds now)
+{
+    return !was_heard_lately(watcher, now);
+}
+
+bool stays_with(const std::vector<watcher_record>& watchers,
+                std::size_t current,
+                milliseconds now)
+{
+    for (std::size_t index = 0; index < watchers.size(); ++index)
+    {
+        const auto& other = watchers[index];
+        if (index != current && is_trusted(other, now) &&
+            !is_out_of_step(other, now))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 std::vector<watcher_record>
 watchers_of(const std::vector<std::string>& addresses,
             const std::string& own_address)
@@ -76,7 +131,9 @@
     }
     for (const auto& address : addresses)
     {
-        result.push_back({address, std::nullopt, std::nullopt, 0});
+        watcher_record record;
+        record.address_ = address;
+        result.push_back(std::move(record));
     }
     return result;
 }
@@ -84,13 +141,13 @@
 std::optional<std::size_t>
 choose_watcher(const std::vector<watcher_record>& watchers,
                const std::string& own_domain,
-               std::size_t random,
+               std::size_t first,
                milliseconds now)
 {
     std::optional<std::size_t> best;
     for (std::size_t step = 0; step < watchers.size(); ++step)
     {
-        const auto index = (random + step) % watchers.size();
+        const auto index = (first + step) % watchers.size();
         if (!may_ask(watchers[index], now))
         {
             continue;
@@ -109,15 +166,15 @@
                         const std::string& own_domain,
                         milliseconds now)
 {
-    return std::any_of(watchers.begin(),
-                       watchers.end(),
-                       [&](const watcher_record& watcher)
-                       {
-                           return is_trusted(watcher, now) &&
-                                  nearness_of(watcher, own_domain) <
-                                      nearness_of(watchers[current],
-                                                  own_domain);
-                       });
+    return std::any_of(
+        watchers.begin(),
+        watchers.end(),
+        [&](const watcher_record& watcher)
+        {
+            return is_trusted(watcher, now) && !is_out_of_step(watcher, now) &&
+                   nearness_of(watcher, own_domain) <
+                       nearness_of(watchers[current], own_domain);
+        });
 }
 
 } // namespace anvilturn
