Take the retry ratio and the stop's grace from the platform's bounds

Cause: deploy/settings.yaml.template named 0.18 and 5.6 s, worked out by hand from the bounds of the known sites.

A bound that can't be read stops the start with settings_invalid.

A bound that changes while a process runs holds from its next start.

--- a/modules/av_daemon/daemon.cpp
+++ b/modules/av_daemon/daemon.cpp
@@ -6,6 +6,7 @@
 #include <av_control/document_digest.hpp>
 #include <av_core/log_event.hpp>
 #include <av_core/monotonic_clock.hpp>
+#include <av_daemon/bound_settings.hpp>
 #include <av_daemon/contact_watch.hpp>
 #include <av_daemon/daemon_options.hpp>
 #include <av_daemon/daemon_state.hpp>
@@ -69,6 +70,7 @@
 public:
     implementation(const settings& value, std::string settings_file)
         : settings_(value)
+        , shutdown_settings_(value.shutdown())
         , settings_file_(std::move(settings_file))
         , signals_(context_, SIGTERM, SIGINT, SIGHUP)
         , operators_(context_, operator_options(value))
@@ -105,6 +107,10 @@
         {
             return adapter.status();
         }
+        if (auto status = read_bounds(*adapter); !status.ok())
+        {
+            return status;
+        }
         if (auto status = start_request_path(*adapter); !status.ok())
         {
             return status;
@@ -141,6 +147,22 @@
     }
 
 private:
+    absl::Status read_bounds(const store_adapter* adapter)
+    {
+        if (adapter == nullptr)
+        {
+            return absl::OkStatus();
+        }
+        const auto bounds = adapter->read_bounds_(settings_.platform().bounds_);
+        if (!bounds.ok())
+        {
+            return bounds.status();
+        }
+        bounds_ = *bounds;
+        shutdown_settings_ = within_bounds(settings_.shutdown(), bounds_);
+        return absl::OkStatus();
+    }
+
     absl::Status start_request_path(const store_adapter* adapter)
     {
         auto path = path_settings(settings_);
@@ -252,7 +274,7 @@
             has_targets_ = true;
             update_ready();
         };
-        const auto store = store_options_of(settings_);
+        const auto store = store_options_of(settings_, bounds_);
         registry_options options;
         options.failure_domain_ = settings_.vm().failure_domain_;
         options.peer_address_ = settings_.listen().peers_;
@@ -561,13 +583,13 @@
             return;
         case shutdown_action::start_balancer_lag_timer:
             after(lag_timer_,
-                  settings_.shutdown().balancer_lag_,
+                  shutdown_settings_.balancer_lag_,
                   shutdown_event::balancer_lag_over);
             return;
         case shutdown_action::start_deadline_timer:
-            stop_at_ = monotonic_now() + settings_.shutdown().deadline_;
+            stop_at_ = monotonic_now() + shutdown_settings_.deadline_;
             after(deadline_timer_,
-                  settings_.shutdown().deadline_,
+                  shutdown_settings_.deadline_,
                   shutdown_event::deadline_passed);
             return;
         case shutdown_action::stop_accepting:
@@ -684,6 +706,9 @@
     asio::signal_set signals_;
     asio::steady_timer contact_timer_{context_};
     asio::steady_timer collect_timer_{context_};
+    platform_bounds bounds_;
+    // How this VM leaves, within the platform's bounds.
+    shutdown_settings shutdown_settings_;
     asio::steady_timer return_timer_{context_};
     asio::steady_timer lag_timer_{context_};
     asio::steady_timer deadline_timer_{context_};
--- a/modules/av_daemon/daemon_options.cpp
+++ b/modules/av_daemon/daemon_options.cpp
@@ -1,5 +1,6 @@
 #include <av_daemon/daemon_options.hpp>
 
+#include <av_daemon/bound_settings.hpp>
 #include <av_platform/platform_keys.hpp>
 #include <av_routing/choice_policy.hpp>
 
@@ -81,9 +82,10 @@
     return adapter;
 }
 
-store_options store_options_of(const settings& value)
+store_options store_options_of(const settings& value,
+                               const platform_bounds& bounds)
 {
-    const auto& section = value.services();
+    const auto section = within_bounds(value.services(), bounds);
     store_options options;
     options.address_ = value.platform().address_;
     options.call_timeout_ = value.platform().call_timeout_;
--- a/modules/av_daemon/daemon_options.hpp
+++ b/modules/av_daemon/daemon_options.hpp
@@ -35,8 +35,10 @@
 // interface, settings_invalid for one that this program has not.
 absl::StatusOr<const store_adapter*> adapter_of(const settings& value);
 
-// Returns how the adapter reaches the platform's store.
-store_options store_options_of(const settings& value);
+// Returns how the adapter reaches the platform's store, and what holds for
+// services within the platform's bounds.
+store_options store_options_of(const settings& value,
+                               const platform_bounds& bounds);
 
 // Returns where the balancer's readiness check is answered.
 operator_server_options readiness_options(const settings& value);
--- /dev/null
+++ b/modules/av_daemon/tests/bound_settings_test.cpp
@@ -0,0 +1,46 @@
+#include <av_daemon/bound_settings.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace anvilturn;
+
+BOOST_AUTO_TEST_SUITE(settings_within_bounds)
+
+BOOST_AUTO_TEST_CASE(without_bounds_the_settings_hold)
+{
+    const service_section services;
+    const shutdown_settings shutdown;
+    BOOST_TEST((within_bounds(services, {}) == services));
+    BOOST_TEST((within_bounds(shutdown, {}) == shutdown));
+}
+
+BOOST_AUTO_TEST_CASE(extra_attempts_stay_below_the_platforms_ratio)
+{
+    for (const double ratio : {0.01, 0.1, 0.2, 0.5})
+    {
+        platform_bounds bounds;
+        bounds.retry_ratio_ = ratio;
+        const auto section = within_bounds(service_section(), bounds);
+        BOOST_TEST(section.retry_ratio_ < ratio);
+        BOOST_TEST(section.retry_ratio_ > ratio * 0.5);
+    }
+}
+
+// The process must be gone by itself before it is killed, after a time in which
+// the balancer stops sending callers and their calls end.
+BOOST_AUTO_TEST_CASE(the_vm_has_left_before_the_grace_ends)
+{
+    for (const double seconds : {1.0, 2.0, 4.0, 6.0, 30.0})
+    {
+        platform_bounds bounds;
+        bounds.stop_grace_ = milliseconds(seconds * 1000.0);
+        shutdown_settings settings;
+        settings.balancer_lag_ = milliseconds(3000.0);
+        const auto shutdown = within_bounds(settings, bounds);
+        BOOST_TEST((shutdown.deadline_ < *bounds.stop_grace_));
+        BOOST_TEST((shutdown.balancer_lag_ < shutdown.deadline_));
+        BOOST_TEST((shutdown.balancer_lag_ <= settings.balancer_lag_));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/av_settings/settings_fields.cpp
+++ b/modules/av_settings/settings_fields.cpp
@@ -105,6 +105,43 @@
     return field;
 }
 
+bool are_bounds(const std::vector<std::string>& texts)
+{
+    constexpr std::size_t most_bounds = 256;
+    constexpr std::size_t longest_bound = 128;
+    return texts.size() <= most_bounds &&
+           std::all_of(texts.begin(),
+                       texts.end(),
+                       [](const std::string& text)
+                       {
+                           return is_printable(text, longest_bound);
+                       });
+}
+
+yaml_field<platform_settings> bounds_field()
+{
+    auto field = describe_field<platform_settings>(
+        "bounds",
+        "list of at most 256 texts",
+        "what the platform holds the deployment to, as name=value in the "
+        "adapter's words; goes before services.retry_ratio and shutdown");
+    field.read_ = [](const yaml_value& value, platform_settings& into)
+    {
+        const auto texts = parse_texts(value);
+        into.bounds_ = texts.value_or(into.bounds_);
+        return texts.has_value();
+    };
+    field.is_valid_ = [](const platform_settings& from)
+    {
+        return are_bounds(from.bounds_);
+    };
+    field.write_ = [](const platform_settings& from)
+    {
+        return yaml_list(from.bounds_);
+    };
+    return field;
+}
+
 } // namespace
 
 const yaml_fields<vm_settings>& vm_settings_fields()
@@ -166,7 +203,8 @@
         name_field("adapter",
                    &section::adapter_,
                    "how the platform is spoken to; native is the project's own "
-                   "interface")};
+                   "interface"),
+        bounds_field()};
     return fields;
 }
 
--- a/modules/av_settings/settings_sections.hpp
+++ b/modules/av_settings/settings_sections.hpp
@@ -72,11 +72,13 @@
     milliseconds call_timeout_{2000.0};
     // How the platform is spoken to.
     std::string adapter_ = native_adapter;
+    // What the platform holds the deployment to, in the adapter's words.
+    std::vector<std::string> bounds_;
 
     // Returns all members, for comparison.
     auto tie() const
     {
-        return std::tie(address_, call_timeout_, adapter_);
+        return std::tie(address_, call_timeout_, adapter_, bounds_);
     }
 };
 
