Serve histograms of calls by outcome; log the first listing as one line

Cause: the metrics had quantiles of the last 10 s of answered calls, which can't be added up over VMs, and nothing of calls that were refused or lost.

Change: anvilturn_call_duration_milliseconds{outcome}, Boost.Histogram with fixed buckets, fed through the threads' buffers that were there (an observation stays at 8 bytes); targets_listed with counts by service.

Tests: metrics_test.

--- a/modules/av_daemon/daemon.cpp
+++ b/modules/av_daemon/daemon.cpp
@@ -494,6 +494,12 @@
         }
         state.requests_ = request_path_->statistics();
         state.latency_ = latency_;
+        for (const auto outcome : {call_outcome::answered,
+                                   call_outcome::not_run,
+                                   call_outcome::unknown})
+        {
+            state.durations_[outcome] = recorder_.histogram(outcome);
+        }
         state.probes_sent_ = prober_ ? prober_->sent() : 0;
         return state;
     }
@@ -700,15 +706,15 @@
     }
 
     const settings settings_;
+    platform_bounds bounds_;
+    // How this VM leaves, within the platform's bounds.
+    shutdown_settings shutdown_settings_;
     const std::string settings_file_;
     const milliseconds started_at_ = monotonic_now();
     asio::io_context context_{1};
     asio::signal_set signals_;
     asio::steady_timer contact_timer_{context_};
     asio::steady_timer collect_timer_{context_};
-    platform_bounds bounds_;
-    // How this VM leaves, within the platform's bounds.
-    shutdown_settings shutdown_settings_;
     asio::steady_timer return_timer_{context_};
     asio::steady_timer lag_timer_{context_};
     asio::steady_timer deadline_timer_{context_};
--- a/modules/av_daemon/daemon_state.hpp
+++ b/modules/av_daemon/daemon_state.hpp
@@ -4,13 +4,16 @@
 #include <av_control/control_state.hpp>
 #include <av_core/milliseconds.hpp>
 #include <av_feed/registry_control.hpp>
+#include <av_metrics/latency_histogram.hpp>
 #include <av_metrics/latency_summary.hpp>
+#include <av_model/call_outcome.hpp>
 #include <av_model/fleet_view.hpp>
 #include <av_model/release.hpp>
 #include <av_proxy/request_path_statistics.hpp>
 #include <av_shutdown/shutdown_sequence.hpp>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -36,6 +39,8 @@
     request_path_statistics requests_;
     // The last whole window of answered calls.
     latency_summary latency_;
+    // Of all calls since the start, by outcome.
+    std::map<call_outcome, latency_histogram> durations_;
     // Probes that this VM sent to targets.
     std::uint64_t probes_sent_ = 0;
 };
--- a/modules/av_daemon/metrics_page.cpp
+++ b/modules/av_daemon/metrics_page.cpp
@@ -31,6 +31,15 @@
         add(metric_type::gauge, name, help, std::move(with), value);
     }
 
+    void histogram(const char* name,
+                   const char* help,
+                   const labels& with,
+                   const latency_histogram& values)
+    {
+        append_histogram(
+            samples_, std::string("anvilturn_") + name, help, with, values);
+    }
+
     std::vector<metric_sample> take()
     {
         return std::move(samples_);
@@ -105,6 +114,17 @@
     quantile("1", latency.maximum_);
 }
 
+void collect_durations(sample_list& list, const daemon_state& state)
+{
+    for (const auto& [outcome, histogram] : state.durations_)
+    {
+        list.histogram("call_duration_milliseconds",
+                       "Time from a call's header to its end at this VM.",
+                       {{"outcome", std::string(name_of(outcome))}},
+                       histogram);
+    }
+}
+
 void collect_targets(sample_list& list, const request_path_statistics& requests)
 {
     for (const auto& service : requests.services_)
@@ -254,6 +274,7 @@
     sample_list list;
     collect_calls(list, state);
     collect_latency(list, state.latency_);
+    collect_durations(list, state);
     collect_targets(list, state.requests_);
     collect_control(list, state.control_);
     collect_registry(list, state);
--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -10,6 +10,7 @@
 #include <av_registry/target_registry.hpp>
 #include <av_registry/watcher_choice.hpp>
 
+#include <absl/strings/str_join.h>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
@@ -188,6 +189,11 @@
     {
         for (const auto& entry : targets)
         {
+        if (published_.empty())
+        {
+            log_listing(targets);
+            return;
+        }
             const auto known = published_.find(entry.first);
             if (known == published_.end())
             {
@@ -209,6 +215,23 @@
 
     void log_target(std::string_view event, const target_spec& target) const
     {
+    // One line for all that a VM learns at its start, which would crowd other
+    // events out of the log.
+    void log_listing(const std::map<std::string, target_spec>& targets) const
+    {
+        std::map<std::string, int> services;
+        for (const auto& entry : targets)
+        {
+            ++services[entry.second.service_];
+        }
+        log_event(log_level::info, "targets_listed")
+            .field("targets", targets.size())
+            .field("services",
+                   absl::StrJoin(services, ",", absl::PairFormatter(":")))
+            .field("revision", revision_)
+            .write();
+    }
+
         log_event(log_level::info, event)
             .field("target", target.name_)
             .field("service", target.service_)
--- a/modules/av_metrics/av_metrics.hpp
+++ b/modules/av_metrics/av_metrics.hpp
@@ -1,10 +1,12 @@
-// Purpose: latency summaries that the threads of the request path feed without
-// a lock, and the metrics page in the text exposition format.
-// Depends on: av_core; Boost.Accumulators and Boost.Lockfree (behind .cpp).
+// Purpose: latency summaries and histograms that the threads of the request
+// path feed without a lock, and the metrics page in the text exposition format.
+// Depends on: av_core, av_model; Boost.Accumulators, Boost.Histogram and
+// Boost.Lockfree (behind .cpp).
 
 #ifndef AV_METRICS_AV_METRICS_HPP
 #define AV_METRICS_AV_METRICS_HPP
 
+#include <av_metrics/latency_histogram.hpp>
 #include <av_metrics/latency_recorder.hpp>
 #include <av_metrics/latency_summary.hpp>
 #include <av_metrics/metric_sample.hpp>
--- a/modules/av_metrics/latency_recorder.cpp
+++ b/modules/av_metrics/latency_recorder.cpp
@@ -9,6 +9,9 @@
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/mean.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
+#include <boost/histogram/accumulators/sum.hpp>
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/make_histogram.hpp>
 #include <boost/lockfree/spsc_queue.hpp>
 
 #include <array>
@@ -41,12 +44,45 @@
                                  probabilities);
 }
 
+namespace bh = boost::histogram;
+
+using latency_axis = bh::axis::variable<double>;
+using latency_counts = decltype(bh::make_histogram_with(
+    std::vector<std::uint64_t>(), latency_axis()));
+
+// The first bucket begins at zero; its lower bound is not one of the page's.
+latency_counts make_counts()
+{
+    std::vector<double> edges = {0.0};
+    edges.insert(
+        edges.end(), latency_bounds_ms.begin(), latency_bounds_ms.end());
+    return bh::make_histogram_with(std::vector<std::uint64_t>(),
+                                   latency_axis(edges));
+}
+
+// The calls of one outcome.
+struct outcome_series
+{
+    latency_counts counts_ = make_counts();
+    bh::accumulators::sum<double> sum_;
+};
+
+constexpr std::size_t outcomes = 3;
+
+// As small as a double, since a thread's buffer has many.
+struct observation
+{
+    float latency_ms_ = 0.0F;
+    call_outcome outcome_ = call_outcome::answered;
+};
+
 // The buffer between one thread of the request path and the collector.
 struct thread_buffer
 {
-    boost::lockfree::
-        spsc_queue<double, boost::lockfree::capacity<buffered_observations>>
-            observations_;
+    boost::lockfree::spsc_queue<
+        observation,
+        boost::lockfree::capacity<buffered_observations>>
+        observations_;
     std::atomic<std::uint64_t> dropped_{0};
 };
 
@@ -63,8 +99,20 @@
         }
     }
 
+    void take(const observation& value)
+    {
+        if (value.outcome_ == call_outcome::answered)
+        {
+            window_(value.latency_ms_);
+        }
+        auto& series = series_.at(static_cast<std::size_t>(value.outcome_));
+        series.counts_(value.latency_ms_);
+        series.sum_ += value.latency_ms_;
+    }
+
     std::vector<std::unique_ptr<thread_buffer>> buffers_;
     window_statistics window_;
+    std::array<outcome_series, outcomes> series_;
 };
 
 latency_recorder::latency_recorder(std::size_t thread_count)
@@ -75,11 +123,13 @@
 latency_recorder::~latency_recorder() = default;
 
 void latency_recorder::record(std::size_t thread_index,
+                              call_outcome outcome,
                               milliseconds latency) noexcept
 {
     assert(thread_index < implementation_->buffers_.size());
     auto& buffer = *implementation_->buffers_[thread_index];
-    if (!buffer.observations_.push(latency.count()))
+    if (!buffer.observations_.push(
+            {static_cast<float>(latency.count()), outcome}))
     {
         buffer.dropped_.fetch_add(1, std::memory_order_relaxed);
     }
@@ -87,17 +137,33 @@
 
 void latency_recorder::collect()
 {
-    auto& window = implementation_->window_;
     for (const auto& buffer : implementation_->buffers_)
     {
         buffer->observations_.consume_all(
-            [&window](double latency)
+            [this](const observation& value)
             {
-                window(latency);
+                implementation_->take(value);
             });
     }
 }
 
+latency_histogram latency_recorder::histogram(call_outcome outcome) const
+{
+    const auto& series =
+        implementation_->series_.at(static_cast<std::size_t>(outcome));
+    latency_histogram result;
+    std::uint64_t below = 0;
+    for (std::size_t index = 0; index < latency_bounds_ms.size(); ++index)
+    {
+        below += series.counts_.at(static_cast<int>(index));
+        result.cumulative_[index] = below;
+    }
+    result.count_ =
+        below + series.counts_.at(static_cast<int>(latency_bounds_ms.size()));
+    result.sum_ = milliseconds(series.sum_.value());
+    return result;
+}
+
 latency_summary latency_recorder::end_window()
 {
     collect();
--- a/modules/av_metrics/metric_sample.cpp
+++ b/modules/av_metrics/metric_sample.cpp
@@ -47,8 +47,49 @@
     return text;
 }
 
+const char* name_of(metric_type type)
+{
+    switch (type)
+    {
+    case metric_type::counter:
+        return "counter";
+    case metric_type::gauge:
+        return "gauge";
+    case metric_type::histogram:
+        return "histogram";
+    }
+    return "untyped";
+}
+
 } // namespace
 
+void append_histogram(
+    std::vector<metric_sample>& samples,
+    const std::string& name,
+    const std::string& help,
+    const std::vector<std::pair<std::string, std::string>>& labels,
+    const latency_histogram& histogram)
+{
+    const auto add = [&](const char* suffix, double value)
+    {
+        samples.push_back(
+            {metric_type::histogram, name, help, labels, value, suffix});
+    };
+    const auto add_bucket = [&](const std::string& bound, std::uint64_t count)
+    {
+        add("_bucket", static_cast<double>(count));
+        samples.back().labels_.emplace_back("le", bound);
+    };
+    for (std::size_t index = 0; index < latency_bounds_ms.size(); ++index)
+    {
+        add_bucket(absl::StrCat(latency_bounds_ms[index]),
+                   histogram.cumulative_[index]);
+    }
+    add_bucket("+Inf", histogram.count_);
+    add("_sum", histogram.sum_.count());
+    add("_count", static_cast<double>(histogram.count_));
+}
+
 std::string render_exposition(const std::vector<metric_sample>& samples)
 {
     std::string page;
@@ -57,15 +98,19 @@
     {
         if (sample.name_ != previous_name)
         {
-            const auto* type =
-                sample.type_ == metric_type::counter ? "counter" : "gauge";
             absl::StrAppend(
                 &page, "# HELP ", sample.name_, " ", sample.help_, "\n");
-            absl::StrAppend(&page, "# TYPE ", sample.name_, " ", type, "\n");
+            absl::StrAppend(&page,
+                            "# TYPE ",
+                            sample.name_,
+                            " ",
+                            name_of(sample.type_),
+                            "\n");
             previous_name = sample.name_;
         }
         absl::StrAppend(&page,
                         sample.name_,
+                        sample.suffix_,
                         render_labels(sample),
                         " ",
                         sample.value_,
--- a/modules/av_metrics/metric_sample.hpp
+++ b/modules/av_metrics/metric_sample.hpp
@@ -2,6 +2,7 @@
 #define AV_METRICS_METRIC_SAMPLE_HPP
 
 #include <av_core/comparison.hpp>
+#include <av_metrics/latency_histogram.hpp>
 
 #include <string>
 #include <tuple>
@@ -16,7 +17,9 @@
     // Only grows while the process lives.
     counter,
     // May rise and fall.
-    gauge
+    gauge,
+    // Calls by buckets; the samples' names end in _bucket, _sum and _count.
+    histogram
 };
 
 // One value on the metrics page.
@@ -29,14 +32,24 @@
     std::string help_;
     std::vector<std::pair<std::string, std::string>> labels_;
     double value_ = 0.0;
+    // What follows the name in the line of this sample.
+    std::string suffix_ = {};
 
     // Returns all members, for comparison.
     auto tie() const
     {
-        return std::tie(type_, name_, help_, labels_, value_);
+        return std::tie(type_, name_, help_, labels_, value_, suffix_);
     }
 };
 
+// Appends the samples of one histogram of latencies, in milliseconds.
+void append_histogram(
+    std::vector<metric_sample>& samples,
+    const std::string& name,
+    const std::string& help,
+    const std::vector<std::pair<std::string, std::string>>& labels,
+    const latency_histogram& histogram);
+
 // Returns the samples in the text exposition format. Samples of one name must
 // follow each other.
 std::string render_exposition(const std::vector<metric_sample>& samples);
--- a/modules/av_metrics/tests/metrics_test.cpp
+++ b/modules/av_metrics/tests/metrics_test.cpp
@@ -31,12 +31,12 @@
         {
             for (int i = 1; i <= 500; ++i)
             {
-                recorder.record(0, milliseconds(i));
+                recorder.record(0, call_outcome::answered, milliseconds(i));
             }
         });
     for (int i = 501; i <= 1000; ++i)
     {
-        recorder.record(1, milliseconds(i));
+        recorder.record(1, call_outcome::answered, milliseconds(i));
     }
     first.join();
     const auto summary = recorder.end_window();
@@ -54,7 +54,7 @@
     latency_recorder recorder(1);
     for (int i = 0; i < offered; ++i)
     {
-        recorder.record(0, milliseconds(1.0));
+        recorder.record(0, call_outcome::answered, milliseconds(1.0));
     }
     const auto summary = recorder.end_window();
     BOOST_TEST(summary.dropped_ > 0u);
@@ -62,4 +62,43 @@
                static_cast<std::uint64_t>(offered));
 }
 
+BOOST_AUTO_TEST_CASE(histograms_count_calls_by_outcome_since_the_start)
+{
+    latency_recorder recorder(1);
+    recorder.record(0, call_outcome::answered, milliseconds(0.0));
+    recorder.record(0, call_outcome::answered, milliseconds(7.0));
+    recorder.record(0, call_outcome::answered, milliseconds(50000.0));
+    recorder.record(0, call_outcome::not_run, milliseconds(60.0));
+    recorder.collect();
+    recorder.end_window();
+    const auto answered = recorder.histogram(call_outcome::answered);
+    BOOST_TEST(answered.cumulative_[0] == 1U);
+    BOOST_TEST(answered.cumulative_[1] == 2U);
+    BOOST_TEST(answered.cumulative_.back() == 2U);
+    BOOST_TEST(answered.count_ == 3U);
+    BOOST_TEST(answered.sum_.count() == 50007.0);
+    BOOST_TEST(recorder.histogram(call_outcome::not_run).count_ == 1U);
+    BOOST_TEST(
+        (recorder.histogram(call_outcome::unknown) == latency_histogram{}));
+}
+
+BOOST_AUTO_TEST_CASE(a_histogram_has_one_heading_and_ends_in_sum_and_count)
+{
+    latency_histogram histogram;
+    histogram.cumulative_.fill(2);
+    histogram.cumulative_[0] = 1;
+    histogram.count_ = 3;
+    histogram.sum_ = milliseconds(12.5);
+    std::vector<metric_sample> samples;
+    append_histogram(samples, "took", "Time.", {{"o", "a"}}, histogram);
+    const auto page = render_exposition(samples);
+    BOOST_TEST(page.find("# HELP took Time.\n# TYPE took histogram\n"
+                         "took_bucket{o=\"a\",le=\"5\"} 1\n"
+                         "took_bucket{o=\"a\",le=\"10\"} 2\n") == 0U);
+    BOOST_TEST(page.find("took_bucket{o=\"a\",le=\"+Inf\"} 3\n"
+                         "took_sum{o=\"a\"} 12.5\n"
+                         "took_count{o=\"a\"} 3\n") != std::string::npos);
+    BOOST_TEST(page.rfind("# TYPE") == page.find("# TYPE"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -9,6 +9,7 @@
 #include <av_http/request_head.hpp>
 #include <av_limits/call_queue.hpp>
 #include <av_limits/patience.hpp>
+#include <av_model/call_outcome.hpp>
 #include <av_proxy/attempt_observer.hpp>
 #include <av_proxy/caller_link.hpp>
 #include <av_proxy/routing_table.hpp>
@@ -103,6 +104,7 @@
     bool goes_home() const;
     void start_attempt(const target_entry& target, bool to_vm);
     void send_body();
+    bool awaits_start() const;
     void observe_answer(const answer_head& head);
     void observe_end();
     bool is_refusal(const answer_head& head);
--- a/modules/av_proxy/proxied_call_answer.cpp
+++ b/modules/av_proxy/proxied_call_answer.cpp
@@ -259,11 +259,6 @@
         lane_->profile_ = after_call(
             lane_->profile_, load_at_start_, slowdown_at_start_, time);
     }
-    auto* const recorder = worker_.core().recorder_;
-    if (recorder != nullptr)
-    {
-        recorder->record(worker_.index(), now - started_at_);
-    }
 }
 
 } // namespace anvilturn
--- a/modules/av_proxy/proxied_call_end.cpp
+++ b/modules/av_proxy/proxied_call_end.cpp
@@ -169,9 +169,10 @@
                   : name_of(call_outcome::unknown),
               describe(kind).name_);
     auto& counters = worker_.counters();
-    auto& outcome = life_.phase() == call_phase::not_run ? counters.not_run_
-                                                         : counters.unknown_;
+    const bool not_run = life_.phase() == call_phase::not_run;
+    auto& outcome = not_run ? counters.not_run_ : counters.unknown_;
     outcome.fetch_add(1, relaxed);
+    record_time(not_run ? call_outcome::not_run : call_outcome::unknown);
     counters.reasons_[static_cast<std::size_t>(kind)].fetch_add(1, relaxed);
 }
 
@@ -185,14 +186,26 @@
     if (vm_outcome_ == name_of(call_outcome::not_run))
     {
         counters.not_run_.fetch_add(1, relaxed);
+        record_time(call_outcome::not_run);
     }
     else if (vm_outcome_ == name_of(call_outcome::unknown))
     {
         counters.unknown_.fetch_add(1, relaxed);
+        record_time(call_outcome::unknown);
     }
     else
     {
         counters.answered_.fetch_add(1, relaxed);
+        record_time(call_outcome::answered);
+    }
+}
+
+void proxied_call::record_time(call_outcome outcome) const
+{
+    auto* const recorder = worker_.core().recorder_;
+    if (recorder != nullptr)
+    {
+        recorder->record(worker_.index(), outcome, worker_.now() - started_at_);
     }
 }
 
