Let calls wait for a VM that just started

The long starts (0.43 s) were VMs whose first watcher was not up yet: the connection's limit was 400 ms.

Ruled out: the targets (idle then); refusals by the queue (none logged).

Change: a call that comes in the first 2 s of a VM that does not know its rules or targets waits for up to 0.6 s or a quarter of its deadline (av_limits/start_wait), then is refused as before; a VM that has not got ready for longer refuses at once. A connection to a watcher may take 150 ms, and a VM that was never told looks again each 50 ms.

Tests: start_wait_test, relay_test a_call_that_comes_before_the_vm_is_ready.

--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -41,8 +41,10 @@
 // start the watchers start too.
 constexpr milliseconds patience_at_start{1500.0};
 constexpr milliseconds patience{300.0};
-// How often a VM that hears no watcher looks for one.
+// How often a VM that hears no watcher looks for one; at the start, when the
+// watchers may come a little later.
 constexpr milliseconds search_period{500.0};
+constexpr milliseconds search_period_at_start{50.0};
 
 enum class subscription_end
 {
@@ -187,13 +189,13 @@
     void
     log_differences(const std::map<std::string, target_spec>& targets) const
     {
-        for (const auto& entry : targets)
-        {
         if (published_.empty())
         {
             log_listing(targets);
             return;
         }
+        for (const auto& entry : targets)
+        {
             const auto known = published_.find(entry.first);
             if (known == published_.end())
             {
@@ -213,8 +215,6 @@
         }
     }
 
-    void log_target(std::string_view event, const target_spec& target) const
-    {
     // One line for all that a VM learns at its start, which would crowd other
     // events out of the log.
     void log_listing(const std::map<std::string, target_spec>& targets) const
@@ -232,6 +232,8 @@
             .write();
     }
 
+    void log_target(std::string_view event, const target_spec& target) const
+    {
         log_event(log_level::info, event)
             .field("target", target.name_)
             .field("service", target.service_)
@@ -320,7 +322,13 @@
 
     void search_later()
     {
-        search_timer_.expires_after(to_duration(search_period));
+        const bool is_starting = !last_told_by_ && !store_.is_running();
+        if (is_starting)
+        {
+            watchers_ = watchers_of(options_.watchers_, options_.peer_address_);
+        }
+        search_timer_.expires_after(
+            to_duration(is_starting ? search_period_at_start : search_period));
         search_timer_.async_wait(
             [this](const boost::system::error_code& error)
             {
--- a/modules/av_limits/av_limits.hpp
+++ b/modules/av_limits/av_limits.hpp
@@ -17,5 +17,6 @@
 #include <av_limits/patience.hpp>
 #include <av_limits/retry_budget.hpp>
 #include <av_limits/retry_decision.hpp>
+#include <av_limits/start_wait.hpp>
 
 #endif
--- a/modules/av_mirror/mirror_pace.hpp
+++ b/modules/av_mirror/mirror_pace.hpp
@@ -17,8 +17,10 @@
 // tells.
 constexpr milliseconds longest_store_silence{1000.0};
 
-// Time limit of a connection to a watcher.
-constexpr milliseconds mirror_connect_timeout{400.0};
+// Time limit of a connection to a watcher: its process has no part in the
+// handshake, which takes one round trip. A machine that is down does not
+// answer.
+constexpr milliseconds mirror_connect_timeout{150.0};
 
 } // namespace anvilturn
 
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -2,6 +2,7 @@
 
 #include <av_http/message_writer.hpp>
 #include <av_limits/patience.hpp>
+#include <av_limits/start_wait.hpp>
 #include <av_proxy/worker.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -51,11 +52,20 @@
         return;
     }
     name_call();
+    begin_service();
+}
+
+void proxied_call::begin_service()
+{
     if (const auto refusal = find_service())
     {
-        refuse(*refusal);
+        if (*refusal != error_kind::vm_not_ready || !hold())
+        {
+            refuse(*refusal);
+        }
         return;
     }
+    const auto& head = *head_;
     idempotent_ = rule_->idempotent_;
     most_attempts_ = rule_->most_attempts_;
     objective_ = rule_->objective_;
@@ -76,6 +86,52 @@
     }
 }
 
+// Lets the call wait for the VM to learn what to serve. Returns whether it may.
+bool proxied_call::hold()
+{
+    if (came_from_vm_)
+    {
+        return false;
+    }
+    start_facts facts;
+    facts.started_at_ = worker_.started_at();
+    facts.arrived_ = started_at_;
+    facts.deadline_ =
+        head_->deadline_ ? started_at_ + *head_->deadline_ : deadline_;
+    const auto until = start_wait_until(facts);
+    if (worker_.now() >= until)
+    {
+        return false;
+    }
+    held_ = true;
+    deadline_ = until;
+    worker_.hold(link_.share_call());
+    link_.update_timer();
+    return true;
+}
+
+bool proxied_call::is_held() const
+{
+    return active_ && held_;
+}
+
+void proxied_call::resume()
+{
+    table_ = worker_.table();
+    if (awaits_start() && !worker_.core().finishing_.load(relaxed))
+    {
+        return;
+    }
+    held_ = false;
+    deadline_ = started_at_ + worker_.core().settings_.request_timeout_;
+    begin_service();
+    link_.update_timer();
+    if (active_ && (request_complete_ || !wants_body()))
+    {
+        seek_target();
+    }
+}
+
 void proxied_call::reject(error_kind kind)
 {
     if (!active_)
@@ -118,6 +174,10 @@
 void proxied_call::on_request_body(bool complete)
 {
     request_complete_ = complete;
+    if (held_)
+    {
+        return;
+    }
     if (life_.phase() == call_phase::queued && !ticket_)
     {
         if (connection_ == nullptr && (complete || !wants_body()))
@@ -181,7 +241,8 @@
 {
     if (connection_ == nullptr)
     {
-        refuse(error_kind::deadline_unreachable);
+        refuse(held_ ? error_kind::vm_not_ready
+                     : error_kind::deadline_unreachable);
         return;
     }
     const bool too_late = worker_.now() >= deadline_;
@@ -368,6 +429,7 @@
     call_id_.clear();
     came_from_vm_ = false;
     is_head_request_ = false;
+    held_ = false;
     table_ = worker_.table();
     service_ = nullptr;
     rule_ = nullptr;
@@ -420,7 +482,7 @@
     {
         return error_kind::request_malformed;
     }
-    if (table_->version_ == 0 ||
+    if (awaits_start() ||
         (came_from_vm_ && head_->deployment_ != core.settings_.deployment_))
     {
         return error_kind::vm_not_ready;
@@ -442,6 +504,23 @@
     return std::nullopt;
 }
 
+// Whether the VM does not know yet what to serve: its rules, or its targets.
+bool proxied_call::awaits_start() const
+{
+    if (table_->version_ == 0)
+    {
+        return true;
+    }
+    const auto& services = table_->services_;
+    return !worker_.core().ready_.load(relaxed) &&
+           std::all_of(services.begin(),
+                       services.end(),
+                       [](const auto& service)
+                       {
+                           return service.second.targets_.empty();
+                       });
+}
+
 // Answers what this VM answers itself. Returns whether it did.
 bool proxied_call::answer_own_path()
 {
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -63,6 +63,11 @@
 
     bool is_active() const;
 
+    // Whether the call waits for the VM to learn what to serve.
+    bool is_held() const;
+    // Goes on with a call that is held, now that the VM may know.
+    void resume();
+
     // Used by the queue of the worker. The target's slot was acquired.
     void dispatch_to(const target_entry& target);
     void refuse(error_kind kind);
@@ -96,7 +101,10 @@
 
     void reset();
     void name_call();
+    void begin_service();
+    bool hold();
     std::optional<error_kind> find_service();
+    bool awaits_start() const;
     wait_facts wait_terms() const;
     bool answer_own_path();
     void answer_ready_check();
@@ -104,7 +112,6 @@
     bool goes_home() const;
     void start_attempt(const target_entry& target, bool to_vm);
     void send_body();
-    bool awaits_start() const;
     void observe_answer(const answer_head& head);
     void observe_end();
     bool is_refusal(const answer_head& head);
@@ -122,6 +129,7 @@
     void respond(error_kind kind);
     void count(error_kind kind);
     void count_answered();
+    void record_time(call_outcome outcome) const;
     milliseconds retry_after(error_kind reason) const;
     void trace_attempt() const;
     void trace_loss(error_kind kind, bool refused) const;
@@ -136,6 +144,7 @@
     bool active_ = false;
     bool came_from_vm_ = false;
     bool is_head_request_ = false;
+    bool held_ = false;
 
     std::shared_ptr<const routing_table> table_;
     const service_entry* service_ = nullptr;
--- a/modules/av_proxy/tests/relay_test.cpp
+++ b/modules/av_proxy/tests/relay_test.cpp
@@ -246,6 +246,30 @@
     BOOST_TEST(outcome_of(caller.read_header()) == "not-run vm_not_ready");
 }
 
+// A restart of many VMs: callers that are refused find others that are not
+// ready either.
+BOOST_AUTO_TEST_CASE(a_call_that_comes_before_the_vm_is_ready_is_served)
+{
+    played_target target;
+    release none;
+    relay vm(none);
+    vm.path().set_ready(false);
+    auto caller = vm.call();
+    caller.send(post("/kits", "seven"));
+    while (vm.path().statistics().calls_in_flight_ == 0)
+    {
+        std::this_thread::yield();
+    }
+    vm.path().publish(make_release({}));
+    vm.path().publish(make_release({target.address()}));
+    vm.path().set_ready(true);
+    auto call = target.accept();
+    BOOST_TEST(contains(call.read_header(), "POST /kits"));
+    BOOST_TEST(call.read_bytes(5) == "seven");
+    call.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    BOOST_TEST(outcome_of(caller.read_header()) == "answered");
+}
+
 // The target got a part of the body, so that the outcome is not known.
 BOOST_AUTO_TEST_CASE(fault_found_while_streaming_is_unknown)
 {
--- a/modules/av_proxy/worker.cpp
+++ b/modules/av_proxy/worker.cpp
@@ -95,6 +95,8 @@
     , context_(1)
     , tick_timer_(context_)
     , poll_timer_(context_)
+    , started_at_(monotonic_now())
+    , held_timer_(context_)
     , callers_acceptor_(context_)
     , forward_acceptor_(context_)
     , reader_(core.table_)
@@ -112,6 +114,7 @@
     forward_acceptor_.close(ignored);
     tick_timer_.cancel();
     poll_timer_.cancel();
+    held_timer_.cancel();
     asker_.stop();
     close_all();
     // Lets the cancelled operations drop what they hold of this object.
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -115,6 +115,12 @@
     // Takes the call out of its queue, if it waits.
     void withdraw(proxied_call& call, service_lane& lane);
 
+    // Lets a call wait until the VM knows what to serve.
+    void hold(std::shared_ptr<proxied_call> call);
+
+    // When this thread's part of the VM began.
+    milliseconds started_at() const;
+
     // A place at a target became free: waiting calls of this thread go first,
     // then those of others.
     void on_slot_freed(const std::shared_ptr<service_state>& service);
@@ -172,6 +178,8 @@
     void left_queue(service_lane& lane);
     void wake_other(const std::shared_ptr<service_state>& service);
     void poll_waiting(std::chrono::milliseconds interval);
+    void poll_held();
+    void resume_held();
     void earn_questions();
     void tick();
     void drop_withdrawn_pools();
@@ -187,6 +195,10 @@
     boost::asio::steady_timer tick_timer_;
     boost::asio::steady_timer poll_timer_;
     bool poll_waits_ = false;
+    const milliseconds started_at_;
+    boost::asio::steady_timer held_timer_;
+    // Calls that wait for this VM to learn what to serve.
+    std::vector<std::shared_ptr<proxied_call>> held_;
     boost::asio::ip::tcp::acceptor callers_acceptor_;
     boost::asio::ip::tcp::acceptor forward_acceptor_;
     snapshot_reader<routing_table> reader_;
--- a/modules/av_proxy/worker_queue.cpp
+++ b/modules/av_proxy/worker_queue.cpp
@@ -28,6 +28,8 @@
 constexpr milliseconds answer_wait(15.0);
 // Pause between questions while no target has room.
 constexpr milliseconds question_pause(30.0);
+// Calls that came before the VM was ready are looked at so often.
+constexpr std::chrono::milliseconds held_poll_interval{5};
 // Targets that may be asked for each call, and saved up at most.
 constexpr double questions_per_call = 3.5;
 constexpr double most_questions_saved = 24.0;
@@ -503,6 +505,53 @@
         });
 }
 
+void worker::hold(std::shared_ptr<proxied_call> call)
+{
+    held_.push_back(std::move(call));
+    if (held_.size() == 1)
+    {
+        poll_held();
+    }
+}
+
+milliseconds worker::started_at() const
+{
+    return started_at_;
+}
+
+void worker::poll_held()
+{
+    held_timer_.expires_after(held_poll_interval);
+    held_timer_.async_wait(
+        [this](const error_code& error)
+        {
+            if (!error)
+            {
+                resume_held();
+            }
+        });
+}
+
+void worker::resume_held()
+{
+    auto calls = std::exchange(held_, {});
+    for (auto& call : calls)
+    {
+        if (call->is_held())
+        {
+            call->resume();
+        }
+        if (call->is_held())
+        {
+            held_.push_back(std::move(call));
+        }
+    }
+    if (!held_.empty())
+    {
+        poll_held();
+    }
+}
+
 // Lets targets be asked for calls that wait for long.
 void worker::earn_questions()
 {
