Let callers come back soon to targets that shed with room

The budget of extra attempts is spent at once; 1,169 calls logged by the VMs of one domain ended with retry_budget_spent, reported_load 0 to 2 of 6, and were told to return after 0.4 to 1.3 s (a tenth to a third of 4 s), past the objective of 1.2 s.

Ruled out: queueing (waiting=0); overload (reported load).

Change: if the target that refused last had room, Retry-After is 0.03 to 0.12 s. A target that refuses because it is full keeps the longer one.

What is refused now has used up the caller's retries. Tests: fault_test, patience_test.

--- a/modules/av_limits/patience.cpp
+++ b/modules/av_limits/patience.cpp
@@ -17,6 +17,9 @@
 // Callers wait for a third of the time that they have left at most.
 constexpr double longest_delay_share = 1.0 / 3.0;
 constexpr double shortest_delay_share = 0.1;
+// Short against the latency objectives of calls.
+constexpr milliseconds shortest_return(30.0);
+constexpr milliseconds longest_return(120.0);
 
 } // namespace
 
@@ -53,4 +56,13 @@
     return std::max(return_at_once, time_left * share);
 }
 
+milliseconds delay_after_shedding(milliseconds time_left,
+                                  double random) noexcept
+{
+    const auto delay =
+        shortest_return + (longest_return - shortest_return) * random;
+    return std::max(return_at_once,
+                    std::min(delay, time_left * longest_delay_share));
+}
+
 } // namespace anvilturn
--- a/modules/av_limits/patience.hpp
+++ b/modules/av_limits/patience.hpp
@@ -39,6 +39,13 @@
 milliseconds delay_before_return(milliseconds time_left,
                                  double random) noexcept;
 
+// Returns the value of Retry-After for a call that targets refused though they
+// had room, when no extra attempt was left: short, since the next attempt is as
+// likely to be served as any, and random, so that calls refused together don't
+// return together.
+milliseconds delay_after_shedding(milliseconds time_left,
+                                  double random) noexcept;
+
 // Value of Retry-After where another VM can take the call at once.
 constexpr milliseconds return_at_once{20.0};
 
--- a/modules/av_limits/tests/patience_test.cpp
+++ b/modules/av_limits/tests/patience_test.cpp
@@ -84,6 +84,10 @@
     const auto delay = delay_before_return(left, random);
     RC_ASSERT(delay <= left * (1.0 / 3.0) || delay == return_at_once);
     RC_ASSERT(delay >= return_at_once);
+    const auto soon = delay_after_shedding(left, random);
+    RC_ASSERT(soon <= left * (1.0 / 3.0) || soon == return_at_once);
+    RC_ASSERT(soon >= return_at_once);
+    RC_ASSERT(soon <= milliseconds(120.0));
 }
 
 // Targets whose work takes 1.7 times as long once four of six slots are busy.
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -455,6 +455,7 @@
     usual_time_ = milliseconds(0.0);
     excluded_.clear();
     last_failure_.reset();
+    was_shed_ = false;
     vm_outcome_.clear();
     vm_reason_.clear();
 }
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -122,6 +122,7 @@
     std::string& answer_output();
     void release_answer();
     void end_attempt(error_kind kind, bool refused);
+    bool target_has_room() const;
     void leave_connection(error_kind kind, bool refused);
     void retry(bool free_of_charge);
     void break_off(error_kind kind);
@@ -189,6 +190,8 @@
     bool holds_answer_ = false;
     // Why the attempt before this one ended.
     std::optional<error_kind> last_failure_;
+    // Whether its target refused it though it had room.
+    bool was_shed_ = false;
     milliseconds attempt_started_at_;
     // What was known of the target then.
     int load_at_start_ = 0;
--- a/modules/av_proxy/proxied_call_end.cpp
+++ b/modules/av_proxy/proxied_call_end.cpp
@@ -28,6 +28,7 @@
 {
     const auto keep = link_.share_call();
     last_failure_ = kind;
+    was_shed_ = refused && target_has_room();
     held_answer_.clear();
     holds_answer_ = false;
     const auto service = service_->state_;
@@ -157,8 +158,18 @@
     {
         return return_at_once;
     }
-    return delay_before_return(deadline_ - worker_.now(),
-                               unit_interval(worker_.random_bits()));
+    const auto time_left = deadline_ - worker_.now();
+    const double random = unit_interval(worker_.random_bits());
+    return reason == error_kind::retry_budget_spent && was_shed_
+               ? delay_after_shedding(time_left, random)
+               : delay_before_return(time_left, random);
+}
+
+// Whether the target said lately that it has room for one more call.
+bool proxied_call::target_has_room() const
+{
+    const int reported = target_->reported_load_.load(relaxed);
+    return reported >= 0 && !to_vm_ && reported < target_slots_;
 }
 
 // Counts a call that was not answered by a target.
--- a/modules/av_proxy/tests/fault_test.cpp
+++ b/modules/av_proxy/tests/fault_test.cpp
@@ -413,6 +413,34 @@
     BOOST_TEST(contains(header, "Retry-After: "));
 }
 
+// All targets of a service refuse a part of their calls though they have room:
+// a caller that came back late would miss its objective for nothing.
+BOOST_AUTO_TEST_CASE(callers_come_back_soon_to_targets_that_shed_with_room)
+{
+    for (const bool has_room : {true, false})
+    {
+        played_target target;
+        relay vm(make_release({target.address()}));
+        auto caller = vm.call();
+        caller.send("POST /kits HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"
+                    "Anvilturn-Deadline: 20000\r\n\r\n");
+        auto connection = target.accept();
+        connection.read_header();
+        connection.send(std::string("HTTP/1.1 503 Busy\r\n"
+                                    "Anvilturn-Not-Run: 1\r\n"
+                                    "Anvilturn-Load: busy=") +
+                        (has_room ? "0" : "6") +
+                        ", queued=0, slots=6\r\n"
+                        "Content-Length: 0\r\n\r\n");
+        const auto header = caller.read_header();
+        BOOST_TEST(outcome_of(header) == "not-run retry_budget_spent");
+        const auto at = header.find("Retry-After: ");
+        BOOST_TEST_REQUIRE(at != std::string::npos);
+        const double seconds = std::stod(header.substr(at + 13));
+        BOOST_TEST((seconds < 0.2) == has_room);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(caller_that_goes_away_is_withdrawn)
 {
     played_target target;
