Take bounds by their names in the template; drop the adapter's reading of them

Change: services.fleet_retry_ratio and shutdown.killed_after_s are settings that the template fills by name, with sections for a platform that says nothing; the codec, its tests and the plug-in's function are gone.

--- a/modules/av_daemon/daemon.cpp
+++ b/modules/av_daemon/daemon.cpp
@@ -70,7 +70,7 @@
 public:
     implementation(const settings& value, std::string settings_file)
         : settings_(value)
-        , shutdown_settings_(value.shutdown())
+        , shutdown_settings_(within_bounds(value.shutdown()))
         , settings_file_(std::move(settings_file))
         , signals_(context_, SIGTERM, SIGINT, SIGHUP)
         , operators_(context_, operator_options(value))
@@ -107,10 +107,6 @@
         {
             return adapter.status();
         }
-        if (auto status = read_bounds(*adapter); !status.ok())
-        {
-            return status;
-        }
         if (auto status = start_request_path(*adapter); !status.ok())
         {
             return status;
@@ -147,22 +143,6 @@
     }
 
 private:
-    absl::Status read_bounds(const store_adapter* adapter)
-    {
-        if (adapter == nullptr)
-        {
-            return absl::OkStatus();
-        }
-        const auto bounds = adapter->read_bounds_(settings_.platform().bounds_);
-        if (!bounds.ok())
-        {
-            return bounds.status();
-        }
-        bounds_ = *bounds;
-        shutdown_settings_ = within_bounds(settings_.shutdown(), bounds_);
-        return absl::OkStatus();
-    }
-
     absl::Status start_request_path(const store_adapter* adapter)
     {
         auto path = path_settings(settings_);
@@ -274,7 +254,7 @@
             has_targets_ = true;
             update_ready();
         };
-        const auto store = store_options_of(settings_, bounds_);
+        const auto store = store_options_of(settings_);
         registry_options options;
         options.failure_domain_ = settings_.vm().failure_domain_;
         options.peer_address_ = settings_.listen().peers_;
@@ -706,9 +686,8 @@
     }
 
     const settings settings_;
-    platform_bounds bounds_;
     // How this VM leaves, within the platform's bounds.
-    shutdown_settings shutdown_settings_;
+    const shutdown_settings shutdown_settings_;
     const std::string settings_file_;
     const milliseconds started_at_ = monotonic_now();
     asio::io_context context_{1};
--- a/modules/av_daemon/daemon_options.cpp
+++ b/modules/av_daemon/daemon_options.cpp
@@ -82,10 +82,9 @@
     return adapter;
 }
 
-store_options store_options_of(const settings& value,
-                               const platform_bounds& bounds)
+store_options store_options_of(const settings& value)
 {
-    const auto section = within_bounds(value.services(), bounds);
+    const auto section = within_bounds(value.services());
     store_options options;
     options.address_ = value.platform().address_;
     options.call_timeout_ = value.platform().call_timeout_;
--- a/modules/av_daemon/daemon_options.hpp
+++ b/modules/av_daemon/daemon_options.hpp
@@ -37,8 +37,7 @@
 
 // Returns how the adapter reaches the platform's store, and what holds for
 // services within the platform's bounds.
-store_options store_options_of(const settings& value,
-                               const platform_bounds& bounds);
+store_options store_options_of(const settings& value);
 
 // Returns where the balancer's readiness check is answered.
 operator_server_options readiness_options(const settings& value);
--- a/modules/av_feed/av_feed.hpp
+++ b/modules/av_feed/av_feed.hpp
@@ -9,7 +9,6 @@
 
 #include <av_feed/collection_feed.hpp>
 #include <av_feed/collection_source.hpp>
-#include <av_feed/platform_bounds.hpp>
 #include <av_feed/registry_control.hpp>
 #include <av_feed/store_adapter.hpp>
 #include <av_feed/store_call_counts.hpp>
--- a/modules/av_feed/store_adapter.hpp
+++ b/modules/av_feed/store_adapter.hpp
@@ -4,19 +4,16 @@
 #include <av_core/milliseconds.hpp>
 #include <av_core/plugin_registry.hpp>
 #include <av_feed/collection_source.hpp>
-#include <av_feed/platform_bounds.hpp>
 #include <av_feed/store_call_counts.hpp>
 #include <av_http/header_dialect.hpp>
 #include <av_model/release.hpp>
 #include <av_model/target_spec.hpp>
 
-#include <absl/status/statusor.h>
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace anvilturn
 {
@@ -55,10 +52,6 @@
     std::string_view description_;
     // Returns the names of header fields that callers and targets use there.
     header_dialect (*dialect_)();
-    // Reads what the settings say of the platform's bounds. Texts of an unknown
-    // name are left; settings_invalid if a known one can't be read.
-    absl::StatusOr<platform_bounds> (*read_bounds_)(
-        const std::vector<std::string>& texts);
     // Returns calls that run on the thread of the io_context, which outlives
     // them.
     store_calls (*open_)(boost::asio::io_context& context,
--- a/modules/av_settings/settings_fields.cpp
+++ b/modules/av_settings/settings_fields.cpp
@@ -105,43 +105,6 @@
     return field;
 }
 
-bool are_bounds(const std::vector<std::string>& texts)
-{
-    constexpr std::size_t most_bounds = 256;
-    constexpr std::size_t longest_bound = 128;
-    return texts.size() <= most_bounds &&
-           std::all_of(texts.begin(),
-                       texts.end(),
-                       [](const std::string& text)
-                       {
-                           return is_printable(text, longest_bound);
-                       });
-}
-
-yaml_field<platform_settings> bounds_field()
-{
-    auto field = describe_field<platform_settings>(
-        "bounds",
-        "list of at most 256 texts",
-        "what the platform holds the deployment to, as name=value in the "
-        "adapter's words; goes before services.retry_ratio and shutdown");
-    field.read_ = [](const yaml_value& value, platform_settings& into)
-    {
-        const auto texts = parse_texts(value);
-        into.bounds_ = texts.value_or(into.bounds_);
-        return texts.has_value();
-    };
-    field.is_valid_ = [](const platform_settings& from)
-    {
-        return are_bounds(from.bounds_);
-    };
-    field.write_ = [](const platform_settings& from)
-    {
-        return yaml_list(from.bounds_);
-    };
-    return field;
-}
-
 } // namespace
 
 const yaml_fields<vm_settings>& vm_settings_fields()
@@ -203,8 +166,7 @@
         name_field("adapter",
                    &section::adapter_,
                    "how the platform is spoken to; native is the project's own "
-                   "interface"),
-        bounds_field()};
+                   "interface")};
     return fields;
 }
 
@@ -221,6 +183,12 @@
                      0.0,
                      1.0,
                      "extra attempts allowed, as a share of first ones"),
+        number_field("fleet_retry_ratio",
+                     &section::fleet_retry_ratio_,
+                     0.0,
+                     10.0,
+                     "the ratio that the platform allows all VMs together; "
+                     "unless 0 it goes before retry_ratio"),
         number_field("retry_burst",
                      &section::retry_burst_,
                      1.0,
@@ -297,7 +265,13 @@
                            "check fails"),
         timeout_field("deadline_ms",
                       &section::deadline_,
-                      "from SIGTERM to the exit at the latest")};
+                      "from SIGTERM to the exit at the latest"),
+        number_field("killed_after_s",
+                     &section::killed_after_s_,
+                     0.0,
+                     3600.0,
+                     "from SIGTERM until the platform kills the process, in "
+                     "seconds; unless 0 it goes before deadline_ms")};
     return fields;
 }
 
--- a/modules/av_settings/settings_sections.hpp
+++ b/modules/av_settings/settings_sections.hpp
@@ -72,13 +72,11 @@
     milliseconds call_timeout_{2000.0};
     // How the platform is spoken to.
     std::string adapter_ = native_adapter;
-    // What the platform holds the deployment to, in the adapter's words.
-    std::vector<std::string> bounds_;
 
     // Returns all members, for comparison.
     auto tie() const
     {
-        return std::tie(address_, call_timeout_, adapter_, bounds_);
+        return std::tie(address_, call_timeout_, adapter_);
     }
 };
 
@@ -89,6 +87,9 @@
     std::string choice_policy_ = "ask_first";
     // Extra attempts, as a share of first ones.
     double retry_ratio_ = 0.1;
+    // The ratio that the platform allows all VMs together; zero if it says
+    // nothing.
+    double fleet_retry_ratio_ = 0.0;
     // Extra attempts that one VM may make at once.
     double retry_burst_ = 1.5;
     // Calls that may wait at one VM.
@@ -101,6 +102,7 @@
     {
         return std::tie(choice_policy_,
                         retry_ratio_,
+                        fleet_retry_ratio_,
                         retry_burst_,
                         queue_limit_,
                         ejecting_failures_);
@@ -146,11 +148,14 @@
     milliseconds balancer_lag_{5000.0};
     // From the signal to the exit at the latest.
     milliseconds deadline_{30000.0};
+    // From the signal until the platform kills the process, in seconds; zero if
+    // it does not.
+    double killed_after_s_ = 0.0;
 
     // Returns all members, for comparison.
     auto tie() const
     {
-        return std::tie(balancer_lag_, deadline_);
+        return std::tie(balancer_lag_, deadline_, killed_after_s_);
     }
 };
 
