--- a/modules/av_limits/load_profile.cpp
+++ b/modules/av_limits/load_profile.cpp
@@ -1,7 +1,6 @@
 #include <av_limits/load_profile.hpp>
 
 #include <algorithm>
-#include <vector>
 
 namespace anvilturn
 {
@@ -12,9 +11,7 @@
 constexpr double least_weight = 0.05;
 // Calls of a level before it is compared with others.
 constexpr int samples_to_judge = 6;
-// What more calls at once must gain before they are preferred: where targets
-// complete as many either way, a call that waits at the VM can still go to the
-// first target that gets room, and to one that is not slowed.
+// What fewer calls at once must gain before they are preferred.
 constexpr double least_gain = 1.05;
 // Levels up to this part of the highest seen are taken for the usual time.
 constexpr std::size_t usual_levels = 3;
@@ -62,7 +59,9 @@
     {
         return slots;
     }
-    std::vector<double> rates;
+    int best = 0;
+    double best_rate = 0.0;
+    double full_rate = 0.0;
     // In steady state with so many calls at once, each new one finds one call
     // less.
     for (int calls = 1; calls <= most; ++calls)
@@ -73,17 +72,14 @@
         {
             time = level.time_;
         }
-        rates.push_back(calls / time.count());
+        full_rate = calls / time.count();
+        if (full_rate >= best_rate)
+        {
+            best = calls;
+            best_rate = full_rate;
+        }
     }
-    const double enough =
-        *std::max_element(rates.begin(), rates.end()) / least_gain;
-    const auto first = std::find_if(rates.begin(),
-                                    rates.end(),
-                                    [enough](double rate)
-                                    {
-                                        return rate >= enough;
-                                    });
-    return static_cast<int>(first - rates.begin()) + 1;
+    return best_rate >= full_rate * least_gain ? best : slots;
 }
 
 } // namespace anvilturn
