--- a/modules/av_limits/call_queue.hpp
+++ b/modules/av_limits/call_queue.hpp
@@ -23,9 +23,8 @@
 
 // Calls of one service that wait at this VM for a slot of a target. Higher
 // classes go first, lower ones keep a small share so that they are not starved
-// (see class_turn); within a class those that can still be in time go first,
-// then the order is that of arrival. One thread owns a queue. Call is any
-// movable type, such as a shared pointer.
+// (see class_turn); within a class the order is that of arrival. One thread
+// owns a queue. Call is any movable type, such as a shared pointer.
 template <typename Call>
 class call_queue
 {
@@ -79,18 +78,12 @@
     // Adds a call and returns its ticket. Ask accepts first, and displace a
     // call while is_over_limit returns true. The deadline is a point in time of
     // the monotonic clock.
-    // A late call has missed its latency objective.
-    queue_ticket push(Call call,
-                      traffic_class value,
-                      milliseconds deadline,
-                      bool late = false)
+    queue_ticket push(Call call, traffic_class value, milliseconds deadline)
     {
         const auto ticket = ++last_ticket_;
         auto& calls = calls_[static_cast<std::size_t>(value)];
-        const auto place = late ? calls.end() : first_late(calls);
-        const auto entry = calls.insert(
-            place, waiting_call{std::move(call), ticket, deadline, late});
-        where_.emplace(ticket, position{value, entry});
+        calls.push_back({std::move(call), ticket, deadline});
+        where_.emplace(ticket, position{value, std::prev(calls.end())});
         return ticket;
     }
 
@@ -124,21 +117,6 @@
                      : nullptr;
     }
 
-    // Returns the first late call of the highest class that has one; null if
-    // there is none.
-    const Call* peek_late() const
-    {
-        for (const auto& calls : calls_)
-        {
-            const auto found = first_late(calls);
-            if (found != calls.end())
-            {
-                return &found->call_;
-            }
-        }
-        return nullptr;
-    }
-
     // Takes out the call whose turn it is; nothing if none waits.
     std::optional<Call> pop()
     {
@@ -191,7 +169,6 @@
         Call call_;
         queue_ticket ticket_ = 0;
         milliseconds deadline_{0.0};
-        bool late_ = false;
     };
 
     using call_list = std::list<waiting_call>;
@@ -202,18 +179,6 @@
         typename call_list::iterator entry_;
     };
 
-    // Calls that are late stand behind all others of their class.
-    template <typename List>
-    static auto first_late(List& calls)
-    {
-        auto place = calls.end();
-        while (place != calls.begin() && std::prev(place)->late_)
-        {
-            --place;
-        }
-        return place;
-    }
-
     std::optional<traffic_class>
     lowest_waiting_below(traffic_class value) const noexcept
     {
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -172,9 +172,6 @@
                                const service_lane& lane) const;
     bool is_hopeless(const proxied_call& call, const service_lane& lane);
     void serve_waiting(service_lane& lane);
-    bool serve_late_call(const service_entry& service,
-                         service_lane& lane,
-                         const std::shared_ptr<proxied_call>& head);
     std::shared_ptr<proxied_call> pop(service_lane& lane);
     void refuse_late(service_lane& lane);
     bool place_late(proxied_call& call);
--- a/modules/av_proxy/worker_queue.cpp
+++ b/modules/av_proxy/worker_queue.cpp
@@ -209,7 +209,6 @@
         if (call != nullptr)
         {
             input.objective_left_ = call->objective_left(last_seen_);
-            input.deadline_left_ = call->deadline() - last_seen_;
             input.patience_spent_ = call->patience_spent(last_seen_);
         }
         input.awaits_answers_ = awaits_answers(lane);
@@ -347,10 +346,10 @@
         call.refuse(error_kind::deadline_unreachable);
         return;
     }
-    const auto usual = usual_time_of(call.service(), lane);
-    const bool is_late = call.objective_left(last_seen_).count() <= 0.0;
-    call.set_ticket(lane.queue_.push(
-        std::move(shared), call.priority(), call.begin_wait(usual), is_late));
+    call.set_ticket(
+        lane.queue_.push(std::move(shared),
+                         call.priority(),
+                         call.begin_wait(usual_time_of(call.service(), lane))));
     lane.state_->waiting_[index_].fetch_add(1);
     lane.state_->waiting_total_.fetch_add(1);
     while (lane.queue_.is_over_limit())
@@ -433,10 +432,6 @@
                              : choose(*service, head.get(), chosen);
         if (end == choice_end::wait)
         {
-            if (serve_late_call(*service, lane, head))
-            {
-                continue;
-            }
             const bool asked = ask_targets(*service, lane, *head);
             poll_waiting(asked ? question_poll_interval : poll_interval);
             return;
@@ -458,36 +453,6 @@
     }
 }
 
-// Sends the first call that can't be in time any more, while one that can has
-// no target: there are targets that only late calls go to. Returns whether it
-// did.
-bool worker::serve_late_call(const service_entry& service,
-                             service_lane& lane,
-                             const std::shared_ptr<proxied_call>& head)
-{
-    const auto* const late = lane.queue_.peek_late();
-    if (late == nullptr || *late == head)
-    {
-        return false;
-    }
-    const auto call = *late;
-    const target_entry* chosen = nullptr;
-    if (choose(service, call.get(), chosen) != choice_end::chosen)
-    {
-        return false;
-    }
-    withdraw(*call, lane);
-    if (!call->refresh_service())
-    {
-        release_slot(*chosen->state_);
-        call->refuse(error_kind::no_target_available);
-        return true;
-    }
-    lane.rate_ = after_start(lane.rate_, lane.queue_.size(), last_seen_);
-    call->dispatch_to(*chosen);
-    return true;
-}
-
 std::shared_ptr<proxied_call> worker::pop(service_lane& lane)
 {
     auto call = *lane.queue_.pop();
--- a/modules/av_routing/ask_first_policy.cpp
+++ b/modules/av_routing/ask_first_policy.cpp
@@ -28,9 +28,6 @@
 constexpr double usual_slowdown = 1.5;
 // Part of a call's patience after which other failure domains are asked.
 constexpr double stay_in_domain = 0.25;
-// Part of the calls that a target completes best which late calls fill: the
-// rest is for calls that can be in time.
-constexpr double late_share = 0.5;
 // Cost of a target's last slot relative to an idle target.
 constexpr double busy_weight = 0.3;
 // Cost of a target whose health check failed, which may be a false alarm.
@@ -85,20 +82,6 @@
                                    input.objective_left_;
 }
 
-// Whether the call has missed its objective. The usual time does not count here:
-// it is that of all calls of the service, which may be of several kinds.
-bool is_late(const choice_input& input) noexcept
-{
-    return input.objective_left_.count() <= 0.0;
-}
-
-// Whether a late call takes no room there that a call in time may want.
-bool has_spare(const target_view& target) noexcept
-{
-    return load_of(target) + 1.0 <=
-           std::max(1.0, target.best_concurrency_ * late_share);
-}
-
 // Whether what is known of the target is good enough for a choice.
 bool is_known(const choice_input& input, const target_view& target) noexcept
 {
@@ -137,34 +120,11 @@
     return input.patience_spent_ >= 1.0;
 }
 
-// Chooses for a call that has missed its objective: a target with much room, and
-// before the call is refused any with capacity.
-std::optional<std::size_t> choose_late(const choice_input& input)
-{
-    const bool leaves = may_leave_domain(input) && !input.awaits_answers_;
-    const auto chosen =
-        cheapest(input,
-                 [leaves](const target_view& target)
-                 {
-                     return (leaves || target.same_domain_) &&
-                            !is_slow(target) && has_spare(target);
-                 });
-    if (chosen || input.awaits_answers_ || !is_last_chance(input))
-    {
-        return chosen;
-    }
-    return cheapest(input, has_capacity);
-}
-
 // Chooses a target of the own failure domain that serves the call in time;
 // then, once part of the call's patience is spent, one of another domain; and
 // before the call is refused, a slowed one.
 std::optional<std::size_t> choose_asked(const choice_input& input)
 {
-    if (is_late(input))
-    {
-        return choose_late(input);
-    }
     const bool waits = input.awaits_answers_;
     auto chosen =
         cheapest(input,
--- a/modules/av_routing/choice_policy.hpp
+++ b/modules/av_routing/choice_policy.hpp
@@ -28,7 +28,6 @@
     milliseconds usual_time_{0.0};
     // Time until the call misses its latency objective.
     milliseconds objective_left_{0.0};
-    milliseconds deadline_left_{0.0};
     // How much of the time that the call may wait is over, 0 to 1. At 1 it is
     // refused unless a target is chosen now.
     double patience_spent_ = 0.0;
