Find a watch whose connection is silent by signs of life that ask for changes

The store lost the answer of a watch; the watcher's watch of the targets waited for its 30 s while signs of life on another connection were answered, so that it counted as in step and told two VMs nothing of a target that left: seven calls reached it 2.8 to 4.0 s after that. The same happens where open connections to the store go silent for good while new ones work.

Ruled out: the mirror (its subscribers stood where the watcher stood); the end of the fault (8 s before the target left).

Tests: store_session_test a_watch_that_does_not_tell_changes_is_given_up.

--- a/modules/av_feed/collection_feed.hpp
+++ b/modules/av_feed/collection_feed.hpp
@@ -62,6 +62,29 @@
         ++generation_;
         timer_.cancel();
         listed_ = false;
+        watching_ = false;
+        suspected_ = false;
+    }
+
+    // Asks whether the store has changes that the watch has not told. One that
+    // has not told them when they are found a second time is given up: its
+    // connection may be silent for good while others work.
+    void check(milliseconds timeout,
+               std::function<void(const absl::Status& status)> done)
+    {
+        source_.has_news_(revision_,
+                          timeout,
+                          [this,
+                           generation = generation_,
+                           since = revision_,
+                           done = std::move(done)](absl::StatusOr<bool> news)
+                          {
+                              if (news.ok() && generation == generation_)
+                              {
+                                  take_news(since, *news);
+                              }
+                              done(news.status());
+                          });
     }
 
     // Whether the collection was listed since the start.
@@ -131,8 +154,29 @@
         watch();
     }
 
+    void take_news(store_revision since, bool has_news)
+    {
+        if (!has_news || !watching_ || since != revision_)
+        {
+            suspected_ = false;
+            return;
+        }
+        if (!std::exchange(suspected_, true))
+        {
+            return;
+        }
+        log_event(log_level::warning, "store_watch_silent")
+            .field("collection", name_)
+            .field("revision", revision_)
+            .write();
+        suspected_ = false;
+        ++generation_;
+        watch();
+    }
+
     void watch()
     {
+        watching_ = true;
         source_.watch_(revision_,
                        watch_wait,
                        [this, generation = generation_](
@@ -147,6 +191,8 @@
 
     void take_changes(typename collection_source<Value>::changes changes)
     {
+        watching_ = false;
+        suspected_ = false;
         if (kind_of(changes.status()) == error_kind::platform_history_gone)
         {
             log_event(log_level::info, "store_history_gone")
@@ -234,6 +280,9 @@
     // Answers to calls of an earlier generation are not waited for.
     int generation_ = 0;
     bool listed_ = false;
+    // Whether a watch waits, and whether it may be silent.
+    bool watching_ = false;
+    bool suspected_ = false;
 };
 
 } // namespace anvilturn
--- a/modules/av_feed/collection_source.hpp
+++ b/modules/av_feed/collection_source.hpp
@@ -31,6 +31,13 @@
                        milliseconds wait,
                        std::function<void(changes)> done)>
         watch_;
+
+    // Asks within the timeout whether the store knows of changes after the
+    // revision, by the cheapest kind of call; the answer may be out of date.
+    std::function<void(store_revision since,
+                       milliseconds timeout,
+                       std::function<void(absl::StatusOr<bool>)> done)>
+        has_news_;
 };
 
 } // namespace anvilturn
--- a/modules/av_feed/store_session.cpp
+++ b/modules/av_feed/store_session.cpp
@@ -202,17 +202,33 @@
             });
     }
 
+    // Asks for a sign of life: while both collections are watched, by asking
+    // for their changes in turn.
     void check()
     {
-        calls_.check_(
-            check_timeout(failures_),
+        const auto done =
             [this, generation = generation_](const absl::Status& status)
+        {
+            if (generation == generation_)
             {
-                if (generation == generation_)
-                {
-                    take_check(status);
-                }
-            });
+                take_check(status);
+            }
+        };
+        const auto timeout = check_timeout(failures_);
+        if (lost_ || !is_in_step())
+        {
+            calls_.check_(timeout, done);
+            return;
+        }
+        checks_targets_ = !checks_targets_;
+        if (checks_targets_)
+        {
+            targets_.check(timeout, done);
+        }
+        else
+        {
+            releases_.check(timeout, done);
+        }
     }
 
     void take_check(const absl::Status& status)
@@ -264,6 +280,8 @@
     int failures_ = 0;
     bool running_ = false;
     bool lost_ = false;
+    // Which collection was asked for changes last.
+    bool checks_targets_ = false;
 };
 
 store_session::store_session(asio::io_context& context,
--- a/modules/av_feed/tests/scripted_store.hpp
+++ b/modules/av_feed/tests/scripted_store.hpp
@@ -28,6 +28,9 @@
     std::map<std::string, listed_object<Value>> objects_;
     std::function<void(absl::StatusOr<object_changes<Value>>)> watcher_;
     int lists_ = 0;
+    int watches_ = 0;
+    // Whether the store has changes that no watch has told.
+    bool has_news_ = false;
 };
 
 // A store of releases and targets that can be told to fail.
@@ -121,6 +124,7 @@
         result.watch_ =
             [this, &collection](store_revision since, milliseconds, auto done)
         {
+            ++collection.watches_;
             if (!down_ && since >= oldest_)
             {
                 collection.watcher_ = done;
@@ -135,6 +139,17 @@
                     done(status);
                 });
         };
+        result.has_news_ =
+            [this, &collection](store_revision, milliseconds, auto done)
+        {
+            ++checks_;
+            later(
+                [this, &collection, done]
+                {
+                    done(down_ ? absl::StatusOr<bool>(away())
+                               : collection.has_news_);
+                });
+        };
         return result;
     }
 
--- a/modules/av_feed/tests/store_session_test.cpp
+++ b/modules/av_feed/tests/store_session_test.cpp
@@ -170,6 +170,37 @@
     BOOST_TEST(vm.session_->is_running());
 }
 
+// The connection of a watch has gone silent for good; new ones work, so that
+// signs of life come.
+BOOST_AUTO_TEST_CASE(a_watch_that_does_not_tell_changes_is_given_up)
+{
+    followed_store vm;
+    vm.session_->start();
+    vm.run_until_in_step();
+    const int checks = vm.store_.checks_;
+    vm.run_until(
+        [&]
+        {
+            return vm.store_.checks_ >= checks + 6;
+        });
+    BOOST_TEST(vm.store_.targets_.watches_ == 1);
+    vm.store_.targets_.has_news_ = true;
+    vm.run_until(
+        [&]
+        {
+            return vm.store_.targets_.watches_ == 2;
+        });
+    vm.store_.targets_.has_news_ = false;
+    BOOST_TEST(vm.store_.releases_.watches_ == 1);
+    BOOST_TEST(vm.store_.targets_.lists_ == 3);
+    BOOST_TEST(vm.recoveries_ == 0);
+    object_changes<target_spec> changes;
+    changes.revision_ = 90;
+    changes.changes_.resize(1);
+    std::exchange(vm.store_.targets_.watcher_, nullptr)(changes);
+    BOOST_TEST(vm.changes_ == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(forgotten_history_means_a_new_listing)
 {
     followed_store vm;
