Say in a refusal how the targets looked

Change: call_ended of such a call bears eligible, full, slowed and the age of the newest report (av_routing/target_census); `anvilturnctl explain` says it in its sentence. What counts as slowed stands once, in load_estimate.

Tests: target_census_test, call_explanation_test.

--- a/modules/av_client/call_explanation.cpp
+++ b/modules/av_client/call_explanation.cpp
@@ -101,11 +101,25 @@
     return course;
 }
 
+// How the targets looked when the call was refused, if its VM said so.
+std::string describe_targets(const course_of_call& course)
+{
+    if (!course.end_ || value_of(*course.end_, "eligible").empty())
+    {
+        return {};
+    }
+    const auto& end = *course.end_;
+    return ": of " + value_of(end, "eligible") + " that may get work " +
+           value_of(end, "full") + " were full and " + value_of(end, "slowed") +
+           " slowed, the newest report " + value_of(end, "newest_report_ms") +
+           " ms old";
+}
+
 std::string describe_attempts(const course_of_call& course)
 {
     if (course.attempts_ == 0)
     {
-        return "it was sent to no target";
+        return "it was sent to no target" + describe_targets(course);
     }
     std::string text = "it was sent " + std::to_string(course.attempts_) +
                        " times, last to " + course.target_ + " after " +
--- a/modules/av_client/tests/call_explanation_test.cpp
+++ b/modules/av_client/tests/call_explanation_test.cpp
@@ -59,6 +59,17 @@
     BOOST_TEST(contains(explained.cause_, "sent to no target"));
 }
 
+BOOST_AUTO_TEST_CASE(a_refusal_tells_how_the_targets_looked)
+{
+    const auto explained = explain_call(
+        "9c41",
+        {ended("outcome=not-run reason=deadline_unreachable eligible=17 "
+               "full=12 slowed=5 newest_report_ms=3.100")});
+    BOOST_TEST(contains(explained.cause_,
+                        "of 17 that may get work 12 were full and 5 slowed, "
+                        "the newest report 3.100 ms old"));
+}
+
 BOOST_AUTO_TEST_CASE(a_late_answer_shows_where_the_time_went)
 {
     const auto explained =
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -285,6 +285,11 @@
     return *service_;
 }
 
+void proxied_call::note_targets(const target_census& census)
+{
+    census_ = census;
+}
+
 bool proxied_call::refresh_service()
 {
     const auto& newest = worker_.table();
@@ -456,6 +461,7 @@
     excluded_.clear();
     last_failure_.reset();
     was_shed_ = false;
+    census_.reset();
     vm_outcome_.clear();
     vm_reason_.clear();
 }
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -14,6 +14,7 @@
 #include <av_proxy/caller_link.hpp>
 #include <av_proxy/routing_table.hpp>
 #include <av_proxy/target_connection.hpp>
+#include <av_routing/target_census.hpp>
 
 #include <memory>
 #include <optional>
@@ -73,6 +74,8 @@
     void refuse(error_kind kind);
     bool is_excluded(const target_state* state) const;
     const service_entry& service() const;
+    // How the targets looked when none was found for the call, for logs.
+    void note_targets(const target_census& census);
     // Looks the service up in the newest release; false if it is gone.
     bool refresh_service();
     traffic_class priority() const;
@@ -192,6 +195,7 @@
     std::optional<error_kind> last_failure_;
     // Whether its target refused it though it had room.
     bool was_shed_ = false;
+    std::optional<target_census> census_;
     milliseconds attempt_started_at_;
     // What was known of the target then.
     int load_at_start_ = 0;
--- a/modules/av_proxy/proxied_call_end.cpp
+++ b/modules/av_proxy/proxied_call_end.cpp
@@ -281,6 +281,13 @@
             .field("usual_ms", usual_time(lane_->profile_).count())
             .field("retry_tokens", lane_->budget_.tokens_);
     }
+    if (census_)
+    {
+        event.field("eligible", census_->eligible_)
+            .field("full", census_->full_)
+            .field("slowed", census_->slowed_)
+            .field("newest_report_ms", census_->newest_report_.count());
+    }
     event.write();
 }
 
--- a/modules/av_proxy/worker_queue.cpp
+++ b/modules/av_proxy/worker_queue.cpp
@@ -7,6 +7,7 @@
 #include <av_proxy/outlier_check.hpp>
 #include <av_proxy/proxied_call.hpp>
 #include <av_routing/split_choice.hpp>
+#include <av_routing/target_census.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -411,6 +412,7 @@
     const target_entry* chosen = nullptr;
     if (choose(call.service(), &call, chosen) != choice_end::chosen)
     {
+        call.note_targets(count_targets(views_));
         return false;
     }
     call.dispatch_to(*chosen);
--- a/modules/av_routing/ask_first_policy.cpp
+++ b/modules/av_routing/ask_first_policy.cpp
@@ -24,8 +24,6 @@
 // Targets asked at once: with a third of them slowed, one in thirty choices
 // finds none that is not.
 constexpr std::size_t targets_asked = 3;
-// A target that is slowed by less counts as usual.
-constexpr double usual_slowdown = 1.5;
 // Part of a call's patience after which other failure domains are asked.
 constexpr double stay_in_domain = 0.25;
 // Cost of a target's last slot relative to an idle target.
@@ -40,14 +38,9 @@
 // Width of the random part of the order in which targets are asked.
 constexpr double order_noise = 0.6;
 
-bool is_slow(const target_view& target) noexcept
-{
-    return target.reported_slowdown_ > usual_slowdown;
-}
-
 bool is_fresh(const target_view& target) noexcept
 {
-    const auto limit = is_slow(target) ? slow_report_age : fresh_report_age;
+    const auto limit = is_slowed(target) ? slow_report_age : fresh_report_age;
     return target.reported_load_ >= 0 && target.report_age_ <= limit;
 }
 
@@ -78,8 +71,9 @@
 // Whether a call is expected to meet its objective there.
 bool is_in_time(const choice_input& input, const target_view& target) noexcept
 {
-    return !is_slow(target) || input.usual_time_ * target.reported_slowdown_ <=
-                                   input.objective_left_;
+    return !is_slowed(target) ||
+           input.usual_time_ * target.reported_slowdown_ <=
+               input.objective_left_;
 }
 
 // Whether what is known of the target is good enough for a choice.
@@ -131,7 +125,7 @@
                  [&](const target_view& target)
                  {
                      const bool good =
-                         waits ? !is_slow(target) && !target.says_unhealthy_
+                         waits ? !is_slowed(target) && !target.says_unhealthy_
                                : is_in_time(input, target);
                      return target.same_domain_ && has_capacity(target) && good;
                  });
--- a/modules/av_routing/av_routing.hpp
+++ b/modules/av_routing/av_routing.hpp
@@ -12,6 +12,7 @@
 #include <av_routing/outlier.hpp>
 #include <av_routing/random_bits.hpp>
 #include <av_routing/split_choice.hpp>
+#include <av_routing/target_census.hpp>
 #include <av_routing/target_record.hpp>
 #include <av_routing/target_return.hpp>
 #include <av_routing/target_view.hpp>
--- a/modules/av_routing/load_estimate.cpp
+++ b/modules/av_routing/load_estimate.cpp
@@ -78,4 +78,10 @@
     return std::max(1.0, target.slots_ * warmth);
 }
 
+bool is_slowed(const target_view& target) noexcept
+{
+    constexpr double usual_slowdown = 1.5;
+    return target.reported_slowdown_ > usual_slowdown;
+}
+
 } // namespace anvilturn
--- a/modules/av_routing/load_estimate.hpp
+++ b/modules/av_routing/load_estimate.hpp
@@ -45,6 +45,10 @@
 // at least one, so that a cold target can warm up.
 double effective_slots(const target_view& target) noexcept;
 
+// Returns whether the target's machine was slowed by its last report; a little
+// slower counts as usual.
+bool is_slowed(const target_view& target) noexcept;
+
 } // namespace anvilturn
 
 #endif
