Let calls that were held at the start still wait for a target

Change: the least wait counts from when the call begins to wait; one whose objective passed while it was held waits as callers that return late do.

Test: patience_test a_call_that_was_held_at_the_start_still_waits_for_a_target.

--- a/modules/av_limits/patience.cpp
+++ b/modules/av_limits/patience.cpp
@@ -40,12 +40,15 @@
     }
     const auto in_time = facts.arrived_ - facts.spent_before_ +
                          facts.objective_ - facts.usual_time_;
-    if (facts.spent_before_.count() > 0.0 && in_time <= facts.arrived_)
+    const auto spent_here = facts.began_ - facts.arrived_;
+    const bool came_back_late =
+        facts.spent_before_.count() > 0.0 && in_time <= facts.arrived_;
+    if (came_back_late || spent_here >= facts.objective_)
     {
-        const auto left = facts.deadline_ - facts.arrived_;
-        return std::min(latest, facts.arrived_ + left * late_wait_share);
+        const auto left = facts.deadline_ - facts.began_;
+        return std::min(latest, facts.began_ + left * late_wait_share);
     }
-    const auto least = facts.arrived_ + facts.objective_ * least_wait_share;
+    const auto least = facts.began_ + facts.objective_ * least_wait_share;
     return std::min(latest, std::max(in_time, least));
 }
 
--- a/modules/av_limits/patience.hpp
+++ b/modules/av_limits/patience.hpp
@@ -11,6 +11,8 @@
 struct wait_facts
 {
     milliseconds arrived_;
+    // When it began to wait, later than its arrival if its VM had just started.
+    milliseconds began_;
     milliseconds deadline_;
     // The latency objective of its rule; zero if there is none.
     milliseconds objective_{0.0};
--- a/modules/av_limits/tests/patience_test.cpp
+++ b/modules/av_limits/tests/patience_test.cpp
@@ -35,6 +35,7 @@
 {
     wait_facts facts;
     facts.arrived_ = milliseconds(1000.0);
+    facts.began_ = milliseconds(1000.0);
     facts.deadline_ = milliseconds(4000.0);
     facts.objective_ = milliseconds(300.0);
     facts.usual_time_ = milliseconds(120.0);
@@ -54,6 +55,7 @@
                 milliseconds(0.0)));
     wait_facts facts;
     facts.arrived_ = milliseconds(1000.0);
+    facts.began_ = milliseconds(1000.0);
     facts.deadline_ = milliseconds(2600.0);
     facts.objective_ = milliseconds(300.0);
     facts.usual_time_ = milliseconds(120.0);
@@ -65,10 +67,25 @@
     BOOST_TEST((give_up_point(facts) == milliseconds(1100.0)));
 }
 
+// Calls that waited for their VM to start: the time to ask targets comes after.
+BOOST_AUTO_TEST_CASE(a_call_that_was_held_at_the_start_still_waits_for_a_target)
+{
+    wait_facts facts;
+    facts.arrived_ = milliseconds(1000.0);
+    facts.began_ = milliseconds(1200.0);
+    facts.deadline_ = milliseconds(3000.0);
+    facts.objective_ = milliseconds(300.0);
+    facts.usual_time_ = milliseconds(120.0);
+    BOOST_TEST((give_up_point(facts) == milliseconds(1237.5)));
+    facts.began_ = milliseconds(1400.0);
+    BOOST_TEST((give_up_point(facts) == milliseconds(1880.0)));
+}
+
 RC_BOOST_PROP(no_call_waits_beyond_what_its_deadline_allows, ())
 {
     wait_facts facts;
     facts.arrived_ = milliseconds(*rc::gen::inRange(0, 100000));
+    facts.began_ = facts.arrived_;
     facts.deadline_ =
         facts.arrived_ + milliseconds(*rc::gen::inRange(1, 20000));
     facts.objective_ = milliseconds(*rc::gen::inRange(0, 5000));
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -330,6 +330,7 @@
 {
     wait_facts facts;
     facts.arrived_ = started_at_;
+    facts.began_ = wait_began_at_;
     facts.deadline_ = deadline_;
     facts.objective_ = objective_;
     facts.spent_before_ = spent_before_;
