--- a/modules/av_routing/ask_first_policy.cpp
+++ b/modules/av_routing/ask_first_policy.cpp
@@ -21,8 +21,6 @@
 // A slowed machine is not looked at again before this time, since it stays
 // slow for a while.
 constexpr milliseconds slow_report_age(50.0);
-// Rather than refuse a call, reports up to this age are trusted.
-constexpr milliseconds last_report_age(120.0);
 // Targets asked at once: with a third of them slowed, one in thirty choices
 // finds none that is not.
 constexpr std::size_t targets_asked = 3;
@@ -116,31 +114,6 @@
     return input.patience_spent_ >= 1.0;
 }
 
-// Chooses by reports that are too old to choose by while there is time to ask.
-std::optional<std::size_t> by_old_reports(const choice_input& input)
-{
-    std::optional<std::size_t> best;
-    double best_busy = std::numeric_limits<double>::infinity();
-    for (std::size_t index = 0; index < input.targets_.size(); ++index)
-    {
-        const auto& target = input.targets_[index];
-        const int load =
-            std::max(target.own_in_flight_,
-                     target.reported_load_ + target.sent_since_report_);
-        const bool usable = has_room(target) && target.reported_load_ >= 0 &&
-                            target.report_age_ <= last_report_age &&
-                            !is_slowed(target) &&
-                            load + 1 <= target.best_concurrency_;
-        const double busy = static_cast<double>(load) / target.slots_;
-        if (usable && busy < best_busy)
-        {
-            best = index;
-            best_busy = busy;
-        }
-    }
-    return best;
-}
-
 // Chooses a target of the own failure domain that serves the call in time;
 // then, once part of the call's patience is spent, one of another domain; and
 // before the call is refused, a slowed one.
@@ -173,10 +146,6 @@
     {
         chosen = cheapest(input, has_capacity);
     }
-    if (!chosen && is_last_chance(input))
-    {
-        chosen = by_old_reports(input);
-    }
     return chosen;
 }
 
