--- a/modules/av_daemon/daemon.cpp
+++ b/modules/av_daemon/daemon.cpp
@@ -10,6 +10,7 @@
 #include <av_daemon/contact_watch.hpp>
 #include <av_daemon/daemon_options.hpp>
 #include <av_daemon/daemon_state.hpp>
+#include <av_daemon/graceful_stop.hpp>
 #include <av_daemon/metrics_page.hpp>
 #include <av_daemon/platform_binding.hpp>
 #include <av_daemon/process_usage.hpp>
@@ -27,7 +28,6 @@
 #include <av_release/release_codec.hpp>
 #include <av_routing/choice_policy.hpp>
 #include <av_settings/settings_reader.hpp>
-#include <av_shutdown/shutdown_sequence.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -40,7 +40,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <thread>
 #include <utility>
 #include <vector>
 
@@ -70,7 +69,6 @@
 public:
     implementation(const settings& value, std::string settings_file)
         : settings_(value)
-        , shutdown_settings_(within_bounds(value.shutdown()))
         , settings_file_(std::move(settings_file))
         , signals_(context_, SIGTERM, SIGINT, SIGHUP)
         , operators_(context_, operator_options(value))
@@ -89,10 +87,6 @@
 
     ~implementation()
     {
-        if (finisher_.joinable())
-        {
-            finisher_.join();
-        }
         // Its handlers refer to the request path and to this object.
         control_.reset();
     }
@@ -139,7 +133,7 @@
     int run()
     {
         context_.run();
-        return exit_code_;
+        return stop_.exit_code();
     }
 
 private:
@@ -206,7 +200,7 @@
 
     bool is_ready() const
     {
-        return ready_ && shutdown_.phase() == shutdown_phase::serving;
+        return ready_ && stop_.phase() == shutdown_phase::serving;
     }
 
     // Starts what tells this VM of releases and targets.
@@ -452,7 +446,7 @@
     {
         const auto usage = read_process_usage();
         daemon_state state;
-        state.phase_ = shutdown_.phase();
+        state.phase_ = stop_.phase();
         state.ready_ = is_ready();
         state.uptime_ = monotonic_now() - started_at_;
         state.cpu_time_ = usage.cpu_time_;
@@ -522,7 +516,7 @@
                     log_event(log_level::info, "stop_requested")
                         .field("signal", number)
                         .write();
-                    step(shutdown_event::stop_requested);
+                    stop_.request();
                 }
                 watch_signals();
             });
@@ -546,49 +540,34 @@
             .write();
     }
 
-    void step(shutdown_event event)
+    stop_actions actions_of_stop()
     {
-        for (const auto action : shutdown_.step(event))
+        stop_actions actions;
+        actions.fail_readiness_ = [this]
         {
-            perform(action);
-        }
-        log_event(log_level::info, "shutdown_phase")
-            .field("phase", name_of(shutdown_.phase()))
-            .write();
-    }
-
-    void perform(shutdown_action action)
-    {
-        switch (action)
-        {
-        case shutdown_action::fail_readiness:
             request_path_->begin_drain();
-            return;
-        case shutdown_action::leave_fleet:
+        };
+        actions.leave_fleet_ = [this]
+        {
             leave_fleet();
-            return;
-        case shutdown_action::start_balancer_lag_timer:
-            after(lag_timer_,
-                  shutdown_settings_.balancer_lag_,
-                  shutdown_event::balancer_lag_over);
-            return;
-        case shutdown_action::start_deadline_timer:
-            stop_at_ = monotonic_now() + shutdown_settings_.deadline_;
-            after(deadline_timer_,
-                  shutdown_settings_.deadline_,
-                  shutdown_event::deadline_passed);
-            return;
-        case shutdown_action::stop_accepting:
+        };
+        actions.stop_accepting_ = [this]
+        {
             request_path_->stop_accepting();
-            finish_calls();
-            return;
-        case shutdown_action::abandon_calls:
-            exit_code_ = 1;
-            return;
-        case shutdown_action::exit_process:
+        };
+        actions.finish_calls_ = [this](milliseconds left)
+        {
+            return request_path_->finish(left);
+        };
+        actions.has_work_ = [this]
+        {
+            return acceptor_.running() != 0;
+        };
+        actions.exit_process_ = [this]
+        {
             leave_run();
-            return;
-        }
+        };
+        return actions;
     }
 
     void leave_fleet()
@@ -605,49 +584,8 @@
         prober_->give_back();
     }
 
-    // Waits for the calls on a thread of its own, so that operators are still
-    // answered.
-    void finish_calls()
-    {
-        finisher_ = std::thread(
-            [this]
-            {
-                const auto left = stop_at_ - monotonic_now();
-                const bool whole = request_path_->finish(left);
-                asio::post(context_,
-                           [this, whole]
-                           {
-                               exit_code_ = whole ? 0 : 1;
-                               end_calls();
-                           });
-            });
-    }
-
-    // Ends the phase once no release note is under way either, so that its
-    // operator learns what became of it.
-    void end_calls()
-    {
-        if (acceptor_.running() == 0)
-        {
-            step(shutdown_event::calls_ended);
-            return;
-        }
-        lag_timer_.expires_after(to_duration(contact_period));
-        lag_timer_.async_wait(
-            [this](const timer_result& error)
-            {
-                if (!error)
-                {
-                    end_calls();
-                }
-            });
-    }
-
     void leave_run()
     {
-        log_event(log_level::info, "vm_stopped")
-            .field("exit_code", exit_code_)
-            .write();
         boost::system::error_code ignored;
         signals_.cancel(ignored);
         operators_.stop();
@@ -655,20 +593,6 @@
         context_.stop();
     }
 
-    void
-    after(asio::steady_timer& timer, milliseconds delay, shutdown_event event)
-    {
-        timer.expires_after(to_duration(delay));
-        timer.async_wait(
-            [this, event](const timer_result& error)
-            {
-                if (!error)
-                {
-                    step(event);
-                }
-            });
-    }
-
     template <typename Work>
     void every(asio::steady_timer& timer, milliseconds period, Work work)
     {
@@ -686,8 +610,6 @@
     }
 
     const settings settings_;
-    // How this VM leaves, within the platform's bounds.
-    const shutdown_settings shutdown_settings_;
     const std::string settings_file_;
     const milliseconds started_at_ = monotonic_now();
     asio::io_context context_{1};
@@ -695,8 +617,6 @@
     asio::steady_timer contact_timer_{context_};
     asio::steady_timer collect_timer_{context_};
     asio::steady_timer return_timer_{context_};
-    asio::steady_timer lag_timer_{context_};
-    asio::steady_timer deadline_timer_{context_};
     operator_server operators_;
     operator_server readiness_;
     platform_client platform_;
@@ -704,10 +624,6 @@
     latency_recorder recorder_;
     latency_summary latency_;
     milliseconds window_began_ = monotonic_now();
-    shutdown_sequence shutdown_;
-    milliseconds stop_at_;
-    std::thread finisher_;
-    int exit_code_ = 0;
     contact_state contact_;
     std::atomic<bool> ready_{false};
     std::atomic<bool> has_release_{false};
@@ -720,6 +636,9 @@
     std::unique_ptr<control_plane> control_;
     std::unique_ptr<registry_control> registry_;
     std::unique_ptr<target_prober> prober_;
+    // Ends before what it refers to.
+    graceful_stop stop_{
+        context_, within_bounds(settings_.shutdown()), actions_of_stop()};
     return_watch return_watch_{context_,
                                settings_.vm().name_,
                                [this](const target_notice& notice)
