Keep held calls from outliving what they leave; take a whole update as a base

Cause: found on reading the change. worker::held_ stood before connections_, so that a worker that ends while calls wait for it to get ready would destroy their connections after the set that these leave. The address sanitizer does not see it with this version of the set (the new test passes either way); it is undefined all the same. And a whole update from a watcher left base_lost_ set, which cost one more subscription.

Change: held_ stands behind connections_, beside the lanes that keep connections too; a whole update is a base again.

Tests: relay_test a_vm_may_end_while_calls_wait_for_it_to_get_ready; av_proxy and av_feed under the address sanitizer.

--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -414,6 +414,7 @@
         position_.release_version_ = state_.version_;
         if (update.whole_)
         {
+            base_lost_ = false;
             take_whole(registry_, update.changes_);
             take_targets(update.store_revision_);
         }
--- a/modules/av_proxy/tests/relay_fixture.hpp
+++ b/modules/av_proxy/tests/relay_fixture.hpp
@@ -277,6 +277,12 @@
         return *path_;
     }
 
+    // Ends the request path as a process's exit does.
+    void end()
+    {
+        path_.reset();
+    }
+
     peer call()
     {
         return connect(path_->callers_address());
--- a/modules/av_proxy/tests/relay_test.cpp
+++ b/modules/av_proxy/tests/relay_test.cpp
@@ -1,5 +1,7 @@
 #include "relay_fixture.hpp"
 
+#include <thread>
+
 namespace anvilturn::test
 {
 
@@ -270,6 +272,20 @@
     BOOST_TEST(outcome_of(caller.read_header()) == "answered");
 }
 
+BOOST_AUTO_TEST_CASE(a_vm_may_end_while_calls_wait_for_it_to_get_ready)
+{
+    release none;
+    relay vm(none);
+    auto caller = vm.call();
+    caller.send(get("/kits"));
+    while (vm.path().statistics().calls_in_flight_ == 0)
+    {
+        std::this_thread::yield();
+    }
+    vm.end();
+    BOOST_TEST(caller.read_header().empty());
+}
+
 // The target got a part of the body, so that the outcome is not known.
 BOOST_AUTO_TEST_CASE(fault_found_while_streaming_is_unknown)
 {
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -197,8 +197,6 @@
     bool poll_waits_ = false;
     const milliseconds started_at_;
     boost::asio::steady_timer held_timer_;
-    // Calls that wait for this VM to learn what to serve.
-    std::vector<std::shared_ptr<proxied_call>> held_;
     boost::asio::ip::tcp::acceptor callers_acceptor_;
     boost::asio::ip::tcp::acceptor forward_acceptor_;
     snapshot_reader<routing_table> reader_;
@@ -209,7 +207,10 @@
     std::string body_buffer_;
     std::vector<target_view> views_;
     absl::flat_hash_set<caller_connection*> connections_;
+    // These keep connections, which leave connections_ when they end.
     absl::flat_hash_map<std::string, std::unique_ptr<service_lane>> lanes_;
+    // Calls that wait for this VM to learn what to serve.
+    std::vector<std::shared_ptr<proxied_call>> held_;
     absl::flat_hash_map<const target_state*, std::shared_ptr<target_pool>>
         pools_;
     // Calls of each rule that is split, and where this VM begins.
