Keep missing targets only after an outage in which entries can expire

Ruled out: that the VM did not learn of it in time; it had the listing 0.98 s after the target left. Change: registry and session track when the store last answered; the grace period begins only after a gap of two heartbeat intervals of targets (platform.target_heartbeat_ms, from the platform's settings). Watchers mark the entries whose return they wait for, also in incremental updates, and a VM that had answers meanwhile drops them.

--- a/modules/av_daemon/daemon.cpp
+++ b/modules/av_daemon/daemon.cpp
@@ -256,6 +256,8 @@
         options.failure_domain_ = settings_.vm().failure_domain_;
         options.peer_address_ = settings_.listen().peers_;
         options.watchers_ = settings_.vm().seed_peers_;
+        options.target_heartbeat_interval_ =
+            settings_.platform().target_heartbeat_interval_;
         options.service_defaults_ = store.service_defaults_;
         registry_ =
             std::make_unique<registry_control>(context_,
--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -88,6 +88,8 @@
                       return monotonic_now() - answered_at();
                   })
     {
+        registry_.min_expiring_outage_ =
+            min_expiring_outage(options_.target_heartbeat_interval_);
     }
 
     absl::Status start()
@@ -156,9 +158,9 @@
             apply_changes(registry_, changes, monotonic_now());
             publish_registry(store_.target_revision());
         };
-        result.on_recovery_ = [this]
+        result.on_answer_ = [this]
         {
-            record_store_recovery(registry_, monotonic_now());
+            record_store_answer(registry_, monotonic_now());
         };
         return result;
     }
@@ -420,6 +422,7 @@
     void apply(const registry_update& update, milliseconds now)
     {
         state_.answered_at_ = now - update.store_response_age_;
+        record_store_answer(registry_, state_.answered_at_);
         position_.epoch_ = update.epoch_;
         position_.sequence_ = update.sequence_;
         if (update.release_)
@@ -430,7 +433,7 @@
         if (update.is_snapshot_)
         {
             needs_snapshot_ = false;
-            apply_snapshot(registry_, update.changes_);
+            apply_snapshot(registry_, update.changes_, now);
             publish_registry(update.store_revision_);
         }
         else if (!update.changes_.empty())
--- a/modules/av_feed/registry_control.hpp
+++ b/modules/av_feed/registry_control.hpp
@@ -35,6 +35,8 @@
     std::string peer_address_;
     // Where the watchers accept subscribers, IP address and port.
     std::vector<std::string> watchers_;
+    // How often targets renew their entries in the store.
+    milliseconds target_heartbeat_interval_{1500.0};
     service_spec service_defaults_;
 };
 
--- a/modules/av_feed/store_session.cpp
+++ b/modules/av_feed/store_session.cpp
@@ -155,13 +155,12 @@
 
     void record_response()
     {
-        answered_at_ = monotonic_now();
+        record_answer();
         if (std::exchange(store_unreachable_, false))
         {
             log_event(log_level::info, "store_regained")
                 .field("failures", failures_)
                 .write();
-            observer_.on_recovery_();
         }
         if (is_synced())
         {
@@ -169,6 +168,12 @@
         }
     }
 
+    void record_answer()
+    {
+        answered_at_ = monotonic_now();
+        observer_.on_answer_();
+    }
+
     void fail(const absl::Status& status)
     {
         releases_.stop();
@@ -240,7 +245,7 @@
             fail(status);
             return;
         }
-        answered_at_ = monotonic_now();
+        record_answer();
         if (!store_unreachable_)
         {
             schedule_check(intervals_.check_interval_);
--- a/modules/av_feed/store_session.hpp
+++ b/modules/av_feed/store_session.hpp
@@ -21,9 +21,9 @@
         on_target_listing_;
     std::function<void(const std::vector<object_change<target_spec>>& changes)>
         on_target_changes_;
-    // The store answers again after a failure. Called before the callback for
-    // what it has answered.
-    std::function<void()> on_recovery_;
+    // The store has answered. Called before the callback for what it has
+    // answered.
+    std::function<void()> on_answer_;
 };
 
 // How often a session calls the store.
--- a/modules/av_registry/target_registry.cpp
+++ b/modules/av_registry/target_registry.cpp
@@ -10,6 +10,18 @@
 
 using entry_position = std::map<std::string, registered_target>::iterator;
 
+// The store removes an entry after this number of heartbeat intervals without
+// one.
+constexpr int heartbeats_until_expiry = 3;
+
+// Returns whether the store has recovered so recently that a missing entry may
+// return.
+bool is_in_grace_period(const target_registry& registry, milliseconds now)
+{
+    return registry.store_recovered_at_ &&
+           now < *registry.store_recovered_at_ + expiry_grace_period;
+}
+
 // Removes the entry or, within the grace period after an outage of the store,
 // keeps it until the end of that period because it may return. Returns the
 // position after it.
@@ -17,10 +29,7 @@
                                            entry_position entry,
                                            milliseconds now)
 {
-    const bool may_return =
-        registry.store_recovered_at_ &&
-        now < *registry.store_recovered_at_ + expiry_grace_period;
-    if (!may_return)
+    if (!is_in_grace_period(registry, now))
     {
         return registry.entries_.erase(entry);
     }
@@ -58,11 +67,38 @@
     known->second = {*object.value_, object.revision_, std::nullopt};
 }
 
+// Applies that another VM no longer sees the entry in the store and waits for
+// its return.
+void apply_expiring(target_registry& registry,
+                    const std::string& name,
+                    milliseconds now)
+{
+    if (!is_in_grace_period(registry, now))
+    {
+        registry.entries_.erase(name);
+    }
+}
+
 } // namespace
 
-void record_store_recovery(target_registry& registry, milliseconds now)
+milliseconds min_expiring_outage(milliseconds heartbeat_interval)
+{
+    // The last heartbeat came up to one interval before the outage.
+    return heartbeat_interval * (heartbeats_until_expiry - 1);
+}
+
+void record_store_answer(target_registry& registry, milliseconds answered_at)
 {
-    registry.store_recovered_at_ = now;
+    const auto previous = registry.store_answered_at_;
+    if (previous && answered_at <= *previous)
+    {
+        return;
+    }
+    if (previous && answered_at - *previous >= registry.min_expiring_outage_)
+    {
+        registry.store_recovered_at_ = answered_at;
+    }
+    registry.store_answered_at_ = answered_at;
 }
 
 void apply_listing(target_registry& registry,
@@ -92,6 +128,7 @@
     {
         if (change.expiring_)
         {
+            apply_expiring(registry, change.object_.name_, now);
             continue;
         }
         if (!change.removed_)
@@ -109,13 +146,18 @@
 }
 
 void apply_snapshot(target_registry& registry,
-                    const std::vector<target_change>& changes)
+                    const std::vector<target_change>& changes,
+                    milliseconds now)
 {
     std::set<std::string> snapshot_names;
     for (const auto& change : changes)
     {
         snapshot_names.insert(change.object_.name_);
-        if (!change.expiring_)
+        if (change.expiring_)
+        {
+            apply_expiring(registry, change.object_.name_, now);
+        }
+        else
         {
             apply_object(registry, change.object_);
         }
--- a/modules/av_replication/registry_log.cpp
+++ b/modules/av_replication/registry_log.cpp
@@ -20,6 +20,14 @@
     return change;
 }
 
+// Returns whether subscribers need to be told of the difference: the target's
+// description, or whether its entry is expiring.
+bool differs(const registered_target& a, const registered_target& b)
+{
+    return a.spec_ != b.spec_ ||
+           a.expires_at_.has_value() != b.expires_at_.has_value();
+}
+
 void append(registry_log& log, target_change change)
 {
     log.changes_.push_back({++log.sequence_, std::move(change)});
@@ -68,8 +76,7 @@
     for (const auto& entry : targets)
     {
         const auto known = log.targets_.find(entry.first);
-        if (known == log.targets_.end() ||
-            known->second.spec_ != entry.second.spec_)
+        if (known == log.targets_.end() || differs(known->second, entry.second))
         {
             append(log, make_change(entry.first, entry.second, false));
         }
--- a/modules/av_settings/settings_fields.cpp
+++ b/modules/av_settings/settings_fields.cpp
@@ -165,6 +165,10 @@
         timeout_field("call_timeout_ms",
                       &section::call_timeout_,
                       "time limit of one call to the platform"),
+        timeout_field("target_heartbeat_ms",
+                      &section::target_heartbeat_interval_,
+                      "how often targets renew their entries in the platform's "
+                      "registry, which expire after three missed renewals"),
         name_field(
             "adapter",
             &section::adapter_,
--- a/modules/av_settings/settings_sections.hpp
+++ b/modules/av_settings/settings_sections.hpp
@@ -72,6 +72,8 @@
 {
     std::string address_;
     milliseconds call_timeout_{2000.0};
+    // How often targets renew their entries in the platform's registry.
+    milliseconds target_heartbeat_interval_{1500.0};
     // Name of the plug-in that implements the platform's protocol, or
     // native_adapter.
     std::string adapter_ = native_adapter;
@@ -79,7 +81,8 @@
     // Returns all members, for comparison.
     auto tie() const
     {
-        return std::tie(address_, call_timeout_, adapter_);
+        return std::tie(
+            address_, call_timeout_, target_heartbeat_interval_, adapter_);
     }
 };
 
