Begin idempotent requests behind another at once

Change: caller_exchange takes one request with its call and response out of caller_connection; up to four run at once. Responses leave in order. Requests that are not idempotent begin when all responses before them were sent, so that they have not run if an earlier response closes the connection. A stopping VM closes after the last request that has begun.

--- a/modules/av_http/tests/framing_test.cpp
+++ b/modules/av_http/tests/framing_test.cpp
@@ -341,6 +341,84 @@
     return lengths + encodings <= 1;
 }
 
+// One request of a stream, as sent and as it must be read.
+struct streamed_request
+{
+    std::string bytes_;
+    std::string target_;
+    std::string body_;
+};
+
+streamed_request make_streamed_request(int number)
+{
+    streamed_request request;
+    request.target_ = "/kits/" + std::to_string(number);
+    const auto line = request.target_ + " HTTP/1.1\r\nHost: kits.example\r\n";
+    const auto size = *rc::gen::inRange<std::size_t>(0, 30);
+    // Bytes that look like framing must not end the body.
+    request.body_ = *rc::gen::container<std::string>(
+        size, rc::gen::elementOf(std::string("\r\n0GET /:")));
+    switch (*rc::gen::inRange(0, 3))
+    {
+    case 0:
+        request.body_.clear();
+        request.bytes_ = "GET " + line + "\r\n";
+        break;
+    case 1:
+        request.bytes_ = "POST " + line +
+                         "Content-Length: " + std::to_string(size) +
+                         "\r\n\r\n" + request.body_;
+        break;
+    default:
+        request.bytes_ = "POST " + line + "Transfer-Encoding: chunked\r\n\r\n";
+        for (const char byte : request.body_)
+        {
+            request.bytes_ += std::string("1\r\n") + byte + "\r\n";
+        }
+        request.bytes_ += "0\r\n\r\n";
+        break;
+    }
+    return request;
+}
+
+// Callers send requests behind each other, and the network splits the bytes at
+// any point: neither may change what is read.
+RC_BOOST_PROP(any_split_of_a_stream_gives_the_same_requests, ())
+{
+    const auto count = *rc::gen::inRange(1, 6);
+    std::vector<streamed_request> sent;
+    std::string stream;
+    for (int number = 0; number < count; ++number)
+    {
+        sent.push_back(make_streamed_request(number));
+        stream += sent.back().bytes_;
+    }
+    request_reader reader{http_limits()};
+    std::size_t arrived = 0;
+    std::size_t used = 0;
+    for (const auto& expected : sent)
+    {
+        reader.reset();
+        std::string body;
+        read_result step;
+        do
+        {
+            if (step.consumed_ == 0 && arrived < stream.size())
+            {
+                arrived += *rc::gen::inRange<std::size_t>(
+                    1, stream.size() - arrived + 1);
+            }
+            step = reader.read(
+                std::string_view(stream).substr(used, arrived - used), body);
+            used += step.consumed_;
+            RC_ASSERT(step.state_ != read_state::failed);
+        } while (step.state_ != read_state::complete);
+        RC_ASSERT(reader.head().target_ == expected.target_);
+        RC_ASSERT(body == expected.body_);
+    }
+    RC_ASSERT(used == stream.size());
+}
+
 // Guards against request smuggling: messages with randomly changed or inserted
 // bytes must neither crash a reader nor be accepted if they are ambiguous.
 RC_BOOST_PROP(mutated_messages_are_never_ambiguous, ())
--- a/modules/av_proxy/caller_connection.cpp
+++ b/modules/av_proxy/caller_connection.cpp
@@ -16,7 +16,13 @@
 using tcp = asio::ip::tcp;
 
 constexpr milliseconds linger_timeout{1000.0};
+constexpr milliseconds never{1e15};
 constexpr std::size_t linger_limit_bytes = 4 * 1024 * 1024;
+// Requests of one connection whose calls may run at once.
+constexpr std::size_t max_exchanges = 4;
+// Input that is read while it can't be parsed yet, so that requests don't stay
+// in the socket, where callers take them for unread, and a close is noticed.
+constexpr std::size_t max_read_ahead_bytes = std::size_t{16} * 1024;
 
 } // namespace
 
@@ -26,11 +32,10 @@
     : worker_(owner)
     , socket_(std::move(socket))
     , timer_(owner.context())
-    , reader_(owner.core().settings_.limits_, owner.core().settings_.dialect_)
-    , call_(owner, *this)
     , from_vm_(from_vm)
     , last_activity_at_(owner.now())
 {
+    add_exchange();
     worker_.add(*this);
 }
 
@@ -58,7 +63,7 @@
 
 bool caller_connection::is_idle() const
 {
-    return !header_done_ && !header_started_ && !call_.is_active() &&
+    return exchanges_.size() == 1 && exchanges_.front()->is_unused() &&
            output_.unsent_bytes() == 0;
 }
 
@@ -74,12 +79,36 @@
         return;
     }
     const auto self = shared_from_this();
-    call_.on_caller_disconnected();
+    for (const auto& exchange : exchanges_)
+    {
+        exchange->call().on_caller_disconnected();
+    }
     error_code ignored;
     timer_.cancel();
     socket_.close(ignored);
 }
 
+bool caller_connection::is_first(const caller_exchange& exchange) const
+{
+    return exchanges_.front().get() == &exchange;
+}
+
+bool caller_connection::is_last(const caller_exchange& exchange) const
+{
+    return exchanges_.back().get() == &exchange;
+}
+
+bool caller_connection::may_begin(const caller_exchange& exchange,
+                                  const request_head& head) const
+{
+    if (is_first(exchange))
+    {
+        return true;
+    }
+    const auto* rule = worker_.table()->rules_.match(head);
+    return rule != nullptr && rule->idempotent_;
+}
+
 std::string& caller_connection::output()
 {
     return output_.bytes();
@@ -110,17 +139,18 @@
 
 void caller_connection::resume_reading()
 {
-    if (closed_ || processing_ || request_complete_)
+    if (!closed_ && !processing_ && !lingering_)
     {
-        return;
+        process_unread_input();
     }
-    process_unread_input();
 }
 
-void caller_connection::finish_response(bool keep_alive)
+void caller_connection::on_response_finished(const caller_exchange& exchange)
 {
-    response_done_ = true;
-    keep_alive_ = keep_alive;
+    if (closed_ || lingering_ || !is_first(exchange))
+    {
+        return;
+    }
     flush();
     if (!processing_ && !closed_)
     {
@@ -141,11 +171,6 @@
     close();
 }
 
-std::shared_ptr<proxied_call> caller_connection::share_call()
-{
-    return {shared_from_this(), &call_};
-}
-
 void caller_connection::wait_readable()
 {
     if (read_wait_pending_ || closed_)
@@ -185,12 +210,13 @@
     {
         return;
     }
-    if (response_done_)
+    auto& first = *exchanges_.front();
+    if (first.has_response())
     {
         continue_after_response();
         return;
     }
-    call_.on_caller_output_drained();
+    first.call().on_caller_output_drained();
 }
 
 void caller_connection::on_readable()
@@ -200,7 +226,7 @@
         discard_input();
         return;
     }
-    if (request_complete_)
+    if (!exchanges_.back()->wants_input() && !may_read_ahead())
     {
         watch_for_close();
         return;
@@ -218,7 +244,8 @@
         close();
         return;
     }
-    last_activity_at_ = worker_.now();
+    input_arrived_at_ = worker_.now();
+    last_activity_at_ = input_arrived_at_;
     const std::string_view arrived(scratch.data(), count);
     if (unread_input_.empty())
     {
@@ -231,8 +258,8 @@
     process_unread_input();
 }
 
-// Checks whether the caller closed the connection while a call runs. Consumes
-// no input: further requests stay in the socket until their turn.
+// Checks whether the caller closed the connection while calls run. Consumes no
+// input: further requests stay in the socket until their turn.
 void caller_connection::watch_for_close()
 {
     char byte = 0;
@@ -264,12 +291,15 @@
     std::size_t used = 0;
     while (!closed_)
     {
-        if (response_done_ && !prepare_next_request())
+        if (exchanges_.front()->has_response() && !finish_first())
         {
             break;
         }
-        if (request_complete_ || (header_done_ && !call_.wants_body()) ||
-            used >= input.size() || !read_step(input, used))
+        auto* exchange = used < input.size() ? exchange_to_read() : nullptr;
+        const bool may_continue =
+            exchange != nullptr &&
+            exchange->read(input, used, input_arrived_at_);
+        if (!may_continue && !exchanges_.front()->has_response())
         {
             break;
         }
@@ -278,40 +308,58 @@
     return used;
 }
 
-// Parses the next part of the request. Returns whether there may be another one
-// in the input.
-bool caller_connection::read_step(std::string_view input, std::size_t& used)
+// Returns the exchange that the next input belongs to; null if the input can't
+// be used yet.
+caller_exchange* caller_connection::exchange_to_read()
 {
-    const auto result = reader_.read(input.substr(used), call_.body());
-    used += result.consumed_;
-    switch (result.state_)
+    if (exchanges_.back()->is_complete())
+    {
+        if (!may_add_exchange())
+        {
+            return nullptr;
+        }
+        add_exchange();
+    }
+    auto* last = exchanges_.back().get();
+    return last->wants_input() ? last : nullptr;
+}
+
+bool caller_connection::may_add_exchange() const
+{
+    const auto& core = worker_.core();
+    const bool may_follow = exchanges_.size() < max_exchanges &&
+                            exchanges_.back()->may_be_followed() &&
+                            !core.draining_.load();
+    if (!may_follow)
     {
-    case read_state::in_header:
-        header_started_ = true;
         return false;
-    case read_state::failed:
-        reject_request(result.error_);
-        return response_done_;
-    case read_state::in_body:
-    case read_state::complete:
-        break;
     }
-    request_complete_ = result.state_ == read_state::complete;
-    if (!std::exchange(header_done_, true))
+    std::size_t buffered = output_.unsent_bytes();
+    for (const auto& exchange : exchanges_)
     {
-        call_.begin(reader_.head(), from_vm_, request_complete_);
+        buffered += exchange->buffered_bytes();
     }
-    if (call_.is_active() && !closed_)
+    return buffered <= core.settings_.relay_buffer_bytes_;
+}
+
+void caller_connection::add_exchange()
+{
+    if (spare_exchanges_.empty())
     {
-        call_.on_request_body(request_complete_);
+        exchanges_.push_back(
+            std::make_unique<caller_exchange>(worker_, *this, from_vm_));
+        return;
     }
-    return result.consumed_ > 0 || response_done_;
+    exchanges_.push_back(std::move(spare_exchanges_.back()));
+    spare_exchanges_.pop_back();
+    exchanges_.back()->reset();
 }
 
-void caller_connection::reject_request(error_kind kind)
+// Returns whether input is read although it can't be parsed yet.
+bool caller_connection::may_read_ahead() const
 {
-    header_done_ = true;
-    call_.reject(kind);
+    return !exchanges_.back()->is_reading() &&
+           unread_input_.size() < max_read_ahead_bytes;
 }
 
 // Called after the input that arrived was parsed as far as possible. Waits for
@@ -322,39 +370,35 @@
     {
         return;
     }
-    if (response_done_)
+    if (exchanges_.front()->has_response())
     {
         continue_after_response();
         return;
     }
-    if (header_done_ && !request_complete_ && !call_.wants_body())
-    {
-        update_timer();
-        return;
-    }
-    // Pipelined requests that were already received wait in memory; further
-    // ones stay in the socket.
-    if (!request_complete_ || unread_input_.empty())
+    if (exchanges_.back()->wants_input() || may_read_ahead())
     {
         wait_readable();
     }
     update_timer();
 }
 
-// Prepares for the next request. Returns false if there will be none, or none
-// until the response was sent completely.
-bool caller_connection::prepare_next_request()
+// Ends the first exchange and continues with the next one. Returns false if the
+// connection ends, or if the response was not sent completely yet.
+bool caller_connection::finish_first()
 {
-    if (!keep_alive_ || !request_complete_ || output_.unsent_bytes() > 0)
+    if (exchanges_.front()->ends_connection() || output_.unsent_bytes() > 0)
     {
         return false;
     }
-    response_done_ = false;
-    request_complete_ = false;
-    header_done_ = false;
-    header_started_ = false;
     last_activity_at_ = worker_.now();
-    reader_.reset();
+    if (exchanges_.size() == 1)
+    {
+        exchanges_.front()->reset();
+        return true;
+    }
+    spare_exchanges_.push_back(std::move(exchanges_.front()));
+    exchanges_.pop_front();
+    exchanges_.front()->become_first();
     return true;
 }
 
@@ -365,7 +409,7 @@
         update_timer();
         return;
     }
-    if (!keep_alive_ || !request_complete_)
+    if (exchanges_.front()->ends_connection())
     {
         linger();
         return;
@@ -379,6 +423,11 @@
 {
     lingering_ = true;
     last_activity_at_ = worker_.now();
+    // The caller takes later requests for unread.
+    for (const auto& exchange : exchanges_)
+    {
+        exchange->call().on_caller_disconnected();
+    }
     error_code error;
     socket_.shutdown(tcp::socket::shutdown_send, error);
     if (error)
@@ -415,13 +464,23 @@
     {
         return last_activity_at_ + settings.idle_timeout_;
     }
-    const auto request_due = last_activity_at_ + settings.request_timeout_;
-    if (!call_.is_active())
+    const auto& last = *exchanges_.back();
+    const bool awaits_caller =
+        last.wants_input() || !exchanges_.front()->call().is_active();
+    auto result = awaits_caller ? request_due() : never;
+    for (const auto& exchange : exchanges_)
     {
-        return request_due;
+        const auto& call = exchange->call();
+        result = call.is_active() ? std::min(result, call.due()) : result;
     }
-    const bool reads = !request_complete_ && call_.wants_body();
-    return reads ? std::min(call_.due(), request_due) : call_.due();
+    return result;
+}
+
+// Returns until when the caller must continue with its request, or read the
+// response.
+milliseconds caller_connection::request_due() const
+{
+    return last_activity_at_ + worker_.core().settings_.request_timeout_;
 }
 
 void caller_connection::update_timer()
@@ -466,18 +525,23 @@
         close();
         return;
     }
-    if (call_.is_active() && worker_.now() >= call_.due())
+    const auto now = worker_.now();
+    for (const auto& exchange : exchanges_)
     {
-        call_.on_timeout();
-        return;
+        auto& call = exchange->call();
+        if (call.is_active() && now >= call.due())
+        {
+            call.on_timeout(); // May change exchanges_.
+            return;
+        }
     }
-    const bool reads = !request_complete_ && !response_done_;
-    if (!reads)
+    auto& last = *exchanges_.back();
+    if (!last.is_reading())
     {
         abort_connection(); // The caller does not read the response.
         return;
     }
-    reject_request(error_kind::request_too_slow);
+    last.reject(error_kind::request_too_slow);
 }
 
 } // namespace anvilturn
--- a/modules/av_proxy/caller_connection.hpp
+++ b/modules/av_proxy/caller_connection.hpp
@@ -4,34 +4,35 @@
 #define AV_PROXY_CALLER_CONNECTION_HPP
 
 #include <av_core/milliseconds.hpp>
-#include <av_http/request_reader.hpp>
-#include <av_proxy/caller_link.hpp>
+#include <av_proxy/caller_exchange.hpp>
 #include <av_proxy/output_buffer.hpp>
-#include <av_proxy/proxied_call.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace anvilturn
 {
 
 class worker;
 
-// One connection from a caller, or from a VM that forwards calls. Requests are
-// served one at a time, in the order of arrival.
-class caller_connection
-    : public std::enable_shared_from_this<caller_connection>,
-      private caller_link
+// One connection from a caller, or from a VM that forwards calls. The caller
+// may send further requests before the first one is answered: idempotent ones
+// begin at once, up to a limit, others when their turn has come to be answered,
+// so that they have not run if the connection ends with an earlier response.
+// Responses are sent in the order of the requests.
+class caller_connection : public std::enable_shared_from_this<caller_connection>
 {
 public:
     caller_connection(worker& owner,
                       boost::asio::ip::tcp::socket socket,
                       bool from_vm);
-    ~caller_connection() override;
+    ~caller_connection();
     caller_connection(const caller_connection&) = delete;
     caller_connection& operator=(const caller_connection&) = delete;
 
@@ -43,16 +44,25 @@
 
     void close();
 
-private:
-    std::string& output() override;
-    void flush() override;
-    std::size_t unsent_bytes() const override;
-    void resume_reading() override;
-    void update_timer() override;
-    void finish_response(bool keep_alive) override;
-    void abort_connection() override;
-    std::shared_ptr<proxied_call> share_call() override;
+    // Used by the exchanges.
+    bool is_first(const caller_exchange& exchange) const;
+    bool is_last(const caller_exchange& exchange) const;
+    // Returns whether the call of the exchange may begin now.
+    bool may_begin(const caller_exchange& exchange,
+                   const request_head& head) const;
+    // Bytes to be sent to the caller. flush sends as much of them as the socket
+    // accepts without blocking.
+    std::string& output();
+    void flush();
+    std::size_t unsent_bytes() const;
+    void resume_reading();
+    void update_timer();
+    void on_response_finished(const caller_exchange& exchange);
+    // Resets the connection, so that the caller can tell that the response is
+    // incomplete.
+    void abort_connection();
 
+private:
     void wait_readable();
     void wait_writable();
     void on_readable();
@@ -61,21 +71,26 @@
     void discard_input();
     void process_unread_input();
     std::size_t process(std::string_view input);
-    bool read_step(std::string_view input, std::size_t& used);
-    void reject_request(error_kind kind);
-    bool prepare_next_request();
+    caller_exchange* exchange_to_read();
+    bool may_add_exchange() const;
+    void add_exchange();
+    bool may_read_ahead() const;
+    bool finish_first();
     void after_input_processed();
     void continue_after_response();
     void linger();
     milliseconds due() const;
+    milliseconds request_due() const;
     void on_timer();
     void on_timeout();
 
     worker& worker_;
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
-    request_reader reader_;
-    proxied_call call_;
+    // In the order of the requests; never empty. The last one reads the input.
+    std::deque<std::unique_ptr<caller_exchange>> exchanges_;
+    // Exchanges that ended. Their calls may still be referred to.
+    std::vector<std::unique_ptr<caller_exchange>> spare_exchanges_;
     output_buffer output_;
     std::string unread_input_;
     bool from_vm_;
@@ -84,15 +99,9 @@
     bool read_wait_pending_ = false;
     bool write_wait_pending_ = false;
     bool processing_ = false;
-    // Whether the header of the request was read or rejected, and whether its
-    // body was read as well.
-    bool header_done_ = false;
-    bool request_complete_ = false;
-    bool response_done_ = false;
-    bool keep_alive_ = true;
     bool lingering_ = false;
-    bool header_started_ = false;
     std::size_t discarded_bytes_ = 0;
+    milliseconds input_arrived_at_;
     // When bytes last arrived, a request ended, or lingering began.
     milliseconds last_activity_at_;
     bool timer_pending_ = false;
--- a/modules/av_proxy/caller_link.hpp
+++ b/modules/av_proxy/caller_link.hpp
@@ -24,6 +24,10 @@
     virtual void flush() = 0;
     virtual std::size_t unsent_bytes() const = 0;
 
+    // Returns whether no later request of the connection has begun. Otherwise
+    // the connection must stay open after this response.
+    virtual bool is_last_request() const = 0;
+
     // Resumes reading the request body, which stays unread while the call does
     // not want more of it.
     virtual void resume_reading() = 0;
@@ -39,7 +43,7 @@
     // incomplete.
     virtual void abort_connection() = 0;
 
-    // Returns the call of this connection. The pointer shares ownership of the
+    // Returns the call of this link. The pointer shares ownership of the
     // connection, which keeps both alive.
     virtual std::shared_ptr<proxied_call> share_call() = 0;
 };
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -38,9 +38,12 @@
 
 void proxied_call::begin(const request_head& head,
                          bool came_from_vm,
-                         bool complete)
+                         bool complete,
+                         milliseconds arrived_at)
 {
     reset();
+    started_at_ = arrived_at;
+    deadline_ = started_at_ + worker_.core().settings_.request_timeout_;
     request_complete_ = complete;
     head_ = &head;
     active_ = true;
@@ -173,6 +176,11 @@
     return body_.size() < settings.buffered_body_bytes_;
 }
 
+std::size_t proxied_call::buffered_bytes() const
+{
+    return body_.size() + buffered_response_.size();
+}
+
 void proxied_call::on_request_body(bool complete)
 {
     request_complete_ = complete;
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -43,8 +43,11 @@
     proxied_call& operator=(const proxied_call&) = delete;
 
     // Starts a call whose request header was read. The header must stay valid
-    // until the call has ended.
-    void begin(const request_head& head, bool came_from_vm, bool complete);
+    // until the call has ended. The deadline counts from the arrival.
+    void begin(const request_head& head,
+               bool came_from_vm,
+               bool complete,
+               milliseconds arrived_at);
 
     // Refuses a request that could not be read.
     void reject(error_kind kind);
@@ -53,6 +56,8 @@
     // announces them.
     std::string& body();
     bool wants_body() const;
+    // Bytes of the request body and of the response that are buffered.
+    std::size_t buffered_bytes() const;
     void on_request_body(bool complete);
 
     void on_caller_disconnected();
@@ -129,6 +134,7 @@
     void relay_response_head(const response_head& head);
     std::string& response_output();
     void flush_buffered_response();
+    bool keeps_connection() const;
     void end_attempt(error_kind kind, bool refused);
     bool target_has_room() const;
     void release_connection(error_kind kind, bool refused);
--- a/modules/av_proxy/proxied_call_end.cpp
+++ b/modules/av_proxy/proxied_call_end.cpp
@@ -144,9 +144,7 @@
     {
         response.retry_after_ = retry_after(reason);
     }
-    response.keep_alive_ = head_ != nullptr && head_->keep_alive_ &&
-                           request_complete_ &&
-                           !worker_.core().draining_.load(relaxed);
+    response.keep_alive_ = head_ != nullptr && keeps_connection();
     response.responds_to_head_request_ = is_head_request_;
     write_local_response(
         link_.output(), response, worker_.core().settings_.dialect_);
@@ -154,6 +152,15 @@
     finish(response.keep_alive_);
 }
 
+// Returns whether the connection stays open after the response. On a VM that
+// is stopping, it does so for the later requests that have begun.
+bool proxied_call::keeps_connection() const
+{
+    const bool closes_for_stop =
+        worker_.core().draining_.load(relaxed) && link_.is_last_request();
+    return head_->keep_alive_ && request_complete_ && !closes_for_stop;
+}
+
 // Returns the time after which the caller should retry.
 milliseconds proxied_call::retry_after(error_kind reason) const
 {
--- a/modules/av_proxy/proxied_call_response.cpp
+++ b/modules/av_proxy/proxied_call_response.cpp
@@ -236,8 +236,7 @@
     // The outcomes of another VM's responses are those of targets, not of that
     // VM.
     response_failed_ = !to_vm_ && head.status_ >= first_failed_status;
-    keep_alive_ = head_->keep_alive_ && request_complete_ &&
-                  !worker_.core().draining_.load(relaxed);
+    keep_alive_ = keeps_connection();
     response_chunked_ = (head.framing_ == body_framing::chunked ||
                          head.framing_ == body_framing::until_close) &&
                         !is_head_request_;
