Index rules by path prefix, and share the index among routing tables

VMs that are not watchers also kept a log of changes for subscribers that they never have. Change: the matcher looks up the prefixes of the path, the longest first; tables of one release share it; states are found by binary search; only watchers keep the log.

--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -72,6 +72,7 @@
         , handlers_(std::move(handlers))
         , watchers_(
               make_watcher_records(options_.watchers_, options_.peer_address_))
+        , is_watcher_(watchers_.empty())
         , random_(std::random_device()())
         , expiry_timer_(context)
         , watcher_search_timer_(context)
@@ -79,8 +80,8 @@
         , store_(context,
                  std::move(calls),
                  observer(),
-                 watchers_.empty() ? watcher_call_intervals
-                                   : subscriber_call_intervals)
+                 is_watcher_ ? watcher_call_intervals
+                             : subscriber_call_intervals)
         , server_(context,
                   options_.failure_domain_,
                   [this]
@@ -102,7 +103,7 @@
                 return status;
             }
         }
-        if (watchers_.empty())
+        if (is_watcher_)
         {
             store_.start();
             return absl::OkStatus();
@@ -173,14 +174,20 @@
         }
         state_.version_ = value->version_;
         state_.release_at_ = monotonic_now();
-        server_.publish_release(value);
+        if (is_watcher_)
+        {
+            server_.publish_release(value);
+        }
         handlers_.on_release_(std::move(value));
     }
 
     void publish_registry(store_revision revision)
     {
         revision_ = std::max(revision_, revision);
-        server_.publish_targets(registry_.entries_, revision_);
+        if (is_watcher_)
+        {
+            server_.publish_targets(registry_.entries_, revision_);
+        }
         publish_targets();
         schedule_expiry();
     }
@@ -491,6 +498,10 @@
     const std::string release_name_;
     registry_handlers handlers_;
     std::vector<watcher_record> watchers_;
+    // Other VMs keep no contents for subscribers, which take time and memory
+    // with each change; if one subscribes, it learns that it must look
+    // elsewhere.
+    const bool is_watcher_;
     std::minstd_rand random_;
     asio::steady_timer expiry_timer_;
     asio::steady_timer watcher_search_timer_;
--- a/modules/av_proxy/caller_connection.cpp
+++ b/modules/av_proxy/caller_connection.cpp
@@ -105,7 +105,7 @@
     {
         return true;
     }
-    const auto* rule = worker_.table()->rules_.match(head);
+    const auto* rule = worker_.table()->rules_->match(head);
     return rule != nullptr && rule->idempotent_;
 }
 
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -511,7 +511,7 @@
     {
         return error_kind::depth_exceeded;
     }
-    rule_ = table_->rules_.match(*head_);
+    rule_ = table_->rules_->match(*head_);
     service_ = rule_ == nullptr
                    ? nullptr
                    : table_->find_service(worker_.service_of(*rule_));
--- a/modules/av_proxy/request_path.cpp
+++ b/modules/av_proxy/request_path.cpp
@@ -121,7 +121,10 @@
     std::string forward_address_;
     // Serializes publish calls, which come from the control plane.
     std::mutex publish_mutex_;
+    // Without its rules, which are in rules_.
     release release_;
+    std::shared_ptr<const rule_matcher> rules_ =
+        std::make_shared<const rule_matcher>();
     fleet_view fleet_;
     std::optional<std::map<std::string, target_spec>> registered_;
 
@@ -156,13 +159,14 @@
     void publish_table()
     {
         const auto previous = core_.table_.load();
-        core_.table_.publish(build_routing_table(
-            registered_ ? with_registered_targets(release_, *registered_)
-                        : release_,
-            fleet_,
-            core_.workers_.size(),
-            previous.get(),
-            monotonic_now()));
+        const routing_table_input input{release_,
+                                        rules_,
+                                        registered_ ? *registered_
+                                                    : release_.targets_,
+                                        fleet_,
+                                        core_.workers_.size(),
+                                        previous.get()};
+        core_.table_.publish(build_routing_table(input, monotonic_now()));
     }
 
     bool join_until(milliseconds point)
@@ -237,6 +241,9 @@
         return;
     }
     implementation_->release_ = value;
+    implementation_->release_.rules_.clear();
+    implementation_->rules_ =
+        std::make_shared<const rule_matcher>(value.rules_);
     implementation_->publish_table();
 }
 
--- a/modules/av_proxy/routing_table.cpp
+++ b/modules/av_proxy/routing_table.cpp
@@ -13,22 +13,35 @@
 constexpr int min_connections_per_vm = 2;
 constexpr int forward_connections_per_thread = 256;
 
+// Returns the target of the service with that name; null if there is none. The
+// targets are in the order of their names.
+const target_entry* find_target(const service_entry& service,
+                                const std::string& name)
+{
+    const auto found =
+        std::lower_bound(service.targets_.begin(),
+                         service.targets_.end(),
+                         name,
+                         [](const target_entry& target, const std::string& key)
+                         {
+                             return target.spec_.name_ < key;
+                         });
+    return found != service.targets_.end() && found->spec_.name_ == name
+               ? &*found
+               : nullptr;
+}
+
 std::shared_ptr<target_state> reuse_or_create_target_state(
     const target_spec& spec, const routing_table* previous, milliseconds now)
 {
     const auto* service =
         previous == nullptr ? nullptr : previous->find_service(spec.service_);
-    if (service != nullptr)
+    const auto* known =
+        service == nullptr ? nullptr : find_target(*service, spec.name_);
+    if (known != nullptr && known->spec_.address_ == spec.address_ &&
+        known->spec_.incarnation_ == spec.incarnation_)
     {
-        for (const auto& target : service->targets_)
-        {
-            if (target.spec_.name_ == spec.name_ &&
-                target.spec_.address_ == spec.address_ &&
-                target.spec_.incarnation_ == spec.incarnation_)
-            {
-                return target.state_;
-            }
-        }
+        return known->state_;
     }
     auto state = std::make_shared<target_state>(
         spec.name_, spec.address_, spec.incarnation_);
@@ -111,61 +124,45 @@
 }
 
 std::shared_ptr<const routing_table>
-build_routing_table(const release& value,
-                    const fleet_view& fleet,
-                    std::size_t thread_count,
-                    const routing_table* previous,
-                    milliseconds now)
+build_routing_table(const routing_table_input& input, milliseconds now)
 {
+    const auto& fleet = input.fleet_;
+    const auto threads = input.thread_count_;
     auto table = std::make_shared<routing_table>();
-    table->version_ = value.version_;
-    table->rules_ = rule_matcher(value.rules_);
-    for (const auto& entry : value.services_)
+    table->version_ = input.release_.version_;
+    table->rules_ = input.rules_;
+    for (const auto& entry : input.release_.services_)
     {
         auto& service = table->services_[entry.first];
         service.spec_ = entry.second;
         service.policy_ = policy_of(entry.second);
-        service.state_ =
-            reuse_or_create_service_state(entry.first, thread_count, previous);
-        set_dispatcher(service, fleet, *table, previous);
+        service.state_ = reuse_or_create_service_state(
+            entry.first, threads, input.previous_);
+        set_dispatcher(service, fleet, *table, input.previous_);
     }
-    for (const auto& entry : value.targets_)
+    for (const auto& entry : input.targets_)
     {
         const auto& spec = entry.second;
         const auto service = table->services_.find(spec.service_);
         if (service == table->services_.end())
         {
-            continue; // A validated release has none.
+            continue;
         }
         target_entry target;
         target.spec_ = spec;
-        target.state_ = reuse_or_create_target_state(spec, previous, now);
+        target.state_ =
+            reuse_or_create_target_state(spec, input.previous_, now);
         target.state_->ejecting_streak_.store(
             service->second.spec_.ejecting_failures_);
         target.same_domain_ =
             spec.failure_domain_ == fleet.self_.failure_domain_;
         target.connections_per_thread_ = connection_share(
-            spec.connection_limit_, fleet.members_.size(), thread_count);
+            spec.connection_limit_, fleet.members_.size(), threads);
         service->second.targets_.push_back(std::move(target));
     }
     return table;
 }
 
-release
-with_registered_targets(release value,
-                        const std::map<std::string, target_spec>& registered)
-{
-    value.targets_.clear();
-    for (const auto& entry : registered)
-    {
-        if (value.services_.count(entry.second.service_) != 0)
-        {
-            value.targets_.insert(entry);
-        }
-    }
-    return value;
-}
-
 int connection_share(int connection_limit,
                      std::size_t vm_count,
                      std::size_t thread_count)
--- a/modules/av_proxy/routing_table.hpp
+++ b/modules/av_proxy/routing_table.hpp
@@ -49,7 +49,9 @@
 struct routing_table
 {
     release_version version_ = 0;
-    rule_matcher rules_;
+    // Shared by the tables of one release; never null.
+    std::shared_ptr<const rule_matcher> rules_ =
+        std::make_shared<const rule_matcher>();
     std::map<std::string, service_entry, std::less<>> services_;
     // States of the VMs that calls are forwarded to, by forward address.
     std::map<std::string, std::shared_ptr<target_state>> vms_;
@@ -58,23 +60,26 @@
     const service_entry* find_service(std::string_view name) const;
 };
 
-// Builds the table of a release. Carries over the states of targets that keep
-// their name, address and incarnation, of services that keep their name, and of
-// VMs that keep their forward address from the previous table, which may be
-// null. A target that joins a known service later begins in slow start.
-std::shared_ptr<const routing_table>
-build_routing_table(const release& value,
-                    const fleet_view& fleet,
-                    std::size_t thread_count,
-                    const routing_table* previous,
-                    milliseconds now);
+// What a routing table is built from. Targets change far more often than the
+// release, so nothing of the release is copied or indexed for each table.
+struct routing_table_input
+{
+    const release& release_;
+    std::shared_ptr<const rule_matcher> rules_;
+    // By name. Those of services that are not in the release are omitted.
+    const std::map<std::string, target_spec>& targets_;
+    const fleet_view& fleet_;
+    std::size_t thread_count_ = 1;
+    // The table that is replaced; null if there is none.
+    const routing_table* previous_ = nullptr;
+};
 
-// Replaces the targets that the release lists by those that registered
-// themselves. Registered targets of services that are not in the release are
-// omitted.
-release
-with_registered_targets(release value,
-                        const std::map<std::string, target_spec>& registered);
+// Builds a table. Carries over the states of targets that keep their name,
+// address and incarnation, of services that keep their name, and of VMs that
+// keep their forward address. A target that joins a known service later begins
+// in slow start.
+std::shared_ptr<const routing_table>
+build_routing_table(const routing_table_input& input, milliseconds now);
 
 // Returns the number of connections that one thread may have to a target: an
 // equal share of the limit for each VM, but at least two, divided among its
--- a/modules/av_proxy/rule_matcher.cpp
+++ b/modules/av_proxy/rule_matcher.cpp
@@ -62,6 +62,26 @@
            find_field(head.fields_, rule.header_name_) == rule.header_value_;
 }
 
+// Returns the prefix as the key of the index.
+std::string_view index_key(const rule_spec& rule)
+{
+    const std::string_view prefix = rule.path_prefix_;
+    return rule.plain_prefix_ ? prefix : without_trailing_slash(prefix);
+}
+
+// Returns whether the prefix can only end at the end of a segment of the path.
+bool ends_at_segment(const rule_spec& rule)
+{
+    return !rule.plain_prefix_ || rule.path_prefix_.empty() ||
+           rule.path_prefix_.back() == '/';
+}
+
+bool is_segment_end(std::string_view path, std::size_t length)
+{
+    return length == 0 || length == path.size() || path[length] == '/' ||
+           path[length - 1] == '/';
+}
+
 const rule_spec* first_match(const std::vector<rule_spec>& rules,
                              const request_head& head,
                              std::string_view path)
@@ -81,12 +101,26 @@
 {
     for (const auto& entry : rules)
     {
-        rules_[entry.second.host_].push_back(entry.second);
+        add(entry.second);
     }
-    for (auto& entry : rules_)
+    for (auto& host : hosts_)
+    {
+        for (auto& entry : host.second.by_prefix_)
+        {
+            std::stable_sort(
+                entry.second.begin(), entry.second.end(), is_tried_before);
+        }
+    }
+}
+
+void rule_matcher::add(const rule_spec& rule)
+{
+    auto& host = hosts_[rule.host_];
+    const auto key = index_key(rule);
+    host.by_prefix_[std::string(key)].push_back(rule);
+    if (!ends_at_segment(rule))
     {
-        std::stable_sort(
-            entry.second.begin(), entry.second.end(), is_tried_before);
+        host.partial_lengths_.insert(key.size());
     }
 }
 
@@ -98,12 +132,12 @@
     for (const absl::string_view host :
          {absl::string_view(head.host_), absl::string_view()})
     {
-        const auto found = rules_.find(host);
-        if (found == rules_.end())
+        const auto found = hosts_.find(host);
+        if (found == hosts_.end())
         {
             continue;
         }
-        const auto* rule = first_match(found->second, head, path);
+        const auto* rule = match(found->second, head, path);
         if (rule != nullptr &&
             (best == nullptr || is_tried_before(*rule, *best)))
         {
@@ -113,6 +147,33 @@
     return best;
 }
 
+// Looks up the prefixes of the path, the longest first.
+const rule_spec* rule_matcher::match(const host_rules& rules,
+                                     const request_head& head,
+                                     std::string_view path)
+{
+    for (std::size_t left = path.size() + 1; left > 0; --left)
+    {
+        const auto length = left - 1;
+        if (!is_segment_end(path, length) &&
+            rules.partial_lengths_.count(length) == 0)
+        {
+            continue;
+        }
+        const auto found =
+            rules.by_prefix_.find(absl::string_view(path.data(), length));
+        if (found == rules.by_prefix_.end())
+        {
+            continue;
+        }
+        if (const auto* rule = first_match(found->second, head, path))
+        {
+            return rule;
+        }
+    }
+    return nullptr;
+}
+
 bool covers_path(std::string_view prefix, std::string_view path)
 {
     prefix = without_trailing_slash(prefix);
--- a/modules/av_proxy/tests/routing_table_test.cpp
+++ b/modules/av_proxy/tests/routing_table_test.cpp
@@ -2,10 +2,13 @@
 #include <av_proxy/response_status.hpp>
 
 #include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace anvilturn
@@ -22,7 +25,7 @@
     return rule;
 }
 
-rule_matcher make_matcher()
+std::map<std::string, rule_spec> make_rules()
 {
     std::map<std::string, rule_spec> rules;
     rules["root"] = make_rule("root", "/");
@@ -36,7 +39,21 @@
     rules["proof"] = make_rule("proof", "/proof");
     rules["proof"].header_name_ = "X-Kind";
     rules["proof"].header_value_ = "proof";
-    return rule_matcher(rules);
+    return rules;
+}
+
+std::shared_ptr<const routing_table> build_table(const release& value,
+                                                 const routing_table* previous)
+{
+    const fleet_view fleet;
+    const routing_table_input input{
+        value,
+        std::make_shared<const rule_matcher>(value.rules_),
+        value.targets_,
+        fleet,
+        2,
+        previous};
+    return build_routing_table(input, milliseconds(1.0));
 }
 
 release make_release(const std::string& address)
@@ -76,7 +93,7 @@
         {"POST", "/kits", "shop.example", "shop"},
         {"GET", "/proof", "h", "root"},
     };
-    const auto matcher = make_matcher();
+    const rule_matcher matcher(make_rules());
     for (const auto& one : cases)
     {
         BOOST_TEST_CONTEXT(one.method_ << " " << one.host_ << one.target_)
@@ -98,17 +115,81 @@
     BOOST_TEST(rule_matcher().match(head) == nullptr);
 }
 
+// The index finds the same rule as trying all of them in order. Short segments
+// over few letters make prefixes of each other likely.
+RC_BOOST_PROP(the_index_finds_the_rule_that_precedes_all_others, ())
+{
+    const auto segment = []
+    {
+        return *rc::gen::elementOf(
+            std::vector<std::string>{"a", "b", "ab", "aa"});
+    };
+    const auto random_path = [&segment]
+    {
+        std::string path = "/";
+        const auto segments = *rc::gen::inRange(0, 4);
+        for (int i = 0; i < segments; ++i)
+        {
+            path += segment() + (*rc::gen::arbitrary<bool>() ? "/" : "");
+        }
+        return path;
+    };
+    std::map<std::string, rule_spec> rules;
+    const auto count = *rc::gen::inRange(0, 12);
+    for (int number = 0; number < count; ++number)
+    {
+        auto rule = make_rule("rule-" + std::to_string(number), random_path());
+        rule.plain_prefix_ = *rc::gen::arbitrary<bool>();
+        rule.host_ = *rc::gen::arbitrary<bool>() ? "h" : "";
+        if (*rc::gen::inRange(0, 4) == 0)
+        {
+            rule.methods_ = {"POST"};
+        }
+        rules[rule.name_] = rule;
+    }
+    request_head head;
+    head.method_ = *rc::gen::elementOf(std::vector<std::string>{"GET", "POST"});
+    head.host_ = *rc::gen::elementOf(std::vector<std::string>{"h", "i"});
+    head.target_ = random_path() + (*rc::gen::arbitrary<bool>() ? "?x=/a" : "");
+    // A matcher of one rule tells whether that rule applies at all.
+    const rule_spec* expected = nullptr;
+    const auto precedence = [](const rule_spec& rule)
+    {
+        auto prefix = rule.path_prefix_;
+        if (!rule.plain_prefix_ && !prefix.empty() && prefix.back() == '/')
+        {
+            prefix.pop_back();
+        }
+        return std::make_pair(prefix.size(),
+                              (rule.host_.empty() ? 0 : 1) +
+                                  (rule.methods_.empty() ? 0 : 1));
+    };
+    for (const auto& entry : rules)
+    {
+        const rule_matcher single({entry});
+        if (single.match(head) != nullptr &&
+            (expected == nullptr ||
+             precedence(entry.second) > precedence(*expected)))
+        {
+            expected = &entry.second;
+        }
+    }
+    const rule_matcher matcher(rules);
+    const auto* found = matcher.match(head);
+    RC_ASSERT((found == nullptr) == (expected == nullptr));
+    if (found != nullptr)
+    {
+        RC_ASSERT(precedence(*found) == precedence(*expected));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(states_are_kept_while_name_and_address_stay)
 {
-    const fleet_view fleet;
-    const auto first = build_routing_table(
-        make_release("127.0.0.1:1"), fleet, 2, nullptr, milliseconds(1.0));
+    const auto first = build_table(make_release("127.0.0.1:1"), nullptr);
     auto changed = make_release("127.0.0.1:1");
     changed.targets_["kits-1"].slots_ = 9;
-    const auto second =
-        build_routing_table(changed, fleet, 2, first.get(), milliseconds(1.0));
-    const auto moved = build_routing_table(
-        make_release("127.0.0.1:2"), fleet, 2, second.get(), milliseconds(1.0));
+    const auto second = build_table(changed, first.get());
+    const auto moved = build_table(make_release("127.0.0.1:2"), second.get());
     const auto state = [](const auto& table)
     {
         return table->find_service("kits")->targets_[0].state_;
@@ -120,6 +201,54 @@
                moved->find_service("kits")->state_);
 }
 
+// Each change of a target builds a table on every VM. Its cost must not grow
+// with the rules, of which a release may have thousands.
+BOOST_AUTO_TEST_CASE(tables_of_one_release_share_its_rules)
+{
+    const auto value = make_release("127.0.0.1:1");
+    const auto rules = std::make_shared<const rule_matcher>(value.rules_);
+    const fleet_view fleet;
+    const routing_table_input input{
+        value, rules, value.targets_, fleet, 1, nullptr};
+    const auto first = build_routing_table(input, milliseconds(1.0));
+    const auto second = build_routing_table(input, milliseconds(2.0));
+    BOOST_TEST(first->rules_.get() == second->rules_.get());
+}
+
+BOOST_AUTO_TEST_CASE(targets_of_unknown_services_are_omitted)
+{
+    auto value = make_release("127.0.0.1:1");
+    value.targets_["other-1"].name_ = "other-1";
+    value.targets_["other-1"].service_ = "other";
+    const auto table = build_table(value, nullptr);
+    BOOST_TEST(table->services_.size() == 1U);
+    BOOST_TEST(table->find_service("kits")->targets_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(states_are_kept_among_many_targets)
+{
+    auto value = make_release("127.0.0.1:1");
+    for (int number = 2; number < 40; ++number)
+    {
+        const auto name = "kits-" + std::to_string(number);
+        value.targets_[name] = value.targets_["kits-1"];
+        value.targets_[name].name_ = name;
+    }
+    const auto first = build_table(value, nullptr);
+    value.targets_.erase("kits-17");
+    value.targets_["kits-23"].incarnation_ = 5;
+    const auto second = build_table(value, first.get());
+    int kept = 0;
+    for (const auto& target : second->find_service("kits")->targets_)
+    {
+        for (const auto& before : first->find_service("kits")->targets_)
+        {
+            kept += target.state_ == before.state_ ? 1 : 0;
+        }
+    }
+    BOOST_TEST(kept == 37);
+}
+
 BOOST_AUTO_TEST_CASE(connections_of_all_vms_stay_below_the_limit)
 {
     BOOST_TEST(connection_share(330, 24, 1) == 13);
