End messages whose framing or skipped parts have no end

A target that sends interim responses, or responses to another call, without end kept its call until the deadline, 16 MB and more were read from it. The size of a chunk, its extensions and the trailers are consumed when they are complete; without an end they piled up in memory until the deadline, from targets and from callers. Change: the readers limit what they can't consume to the size of a header, and interim responses to 16; an attempt skips at most 4 MiB of other calls' responses. The call ends as target_answer_malformed, the connection is closed. Ruled out: endless start lines, fields, bodies with and without length and bytes after a response; they were bounded before, and the tests now hold that.

--- a/modules/av_http/message_parser.hpp
+++ b/modules/av_http/message_parser.hpp
@@ -58,7 +58,7 @@
         {
             return read_header(input, header_limit);
         }
-        return read_body(input, body);
+        return read_body(input, body, header_limit);
     }
 
 protected:
@@ -137,10 +137,19 @@
         return {};
     }
 
-    read_result read_body(std::string_view input, std::string& body)
+    // The size of a chunk, its extensions and the trailers are consumed when
+    // they are complete, so they are limited like a header.
+    read_result read_body(std::string_view input,
+                          std::string& body,
+                          std::size_t header_limit)
     {
         body_ = &body;
-        return put(input);
+        const auto result = put(input);
+        const bool is_stuck =
+            result.state_ == read_state::in_body && result.consumed_ == 0;
+        return is_stuck && input.size() >= header_limit
+                   ? failure(error_kind::request_malformed)
+                   : result;
     }
 
     read_result put(std::string_view input)
--- a/modules/av_http/response_reader.cpp
+++ b/modules/av_http/response_reader.cpp
@@ -17,6 +17,8 @@
 constexpr int first_final_status = 200;
 constexpr int switching_protocols = 101;
 constexpr int no_content = 204;
+// A target in trouble may send interim responses without end.
+constexpr int max_interim_responses = 16;
 constexpr int not_modified = 304;
 
 class response_message_parser : public detail::message_parser<false>
@@ -281,16 +283,22 @@
 void response_reader::reset(bool responds_to_head_request)
 {
     responds_to_head_request_ = responds_to_head_request;
+    interim_responses_ = 0;
+    reset_parser();
+}
+
+void response_reader::reset_parser()
+{
     parser_->head_.clear();
     auto& beast_parser = parser_->parser_.emplace(
-        parser_->head_, dialect_, responds_to_head_request);
+        parser_->head_, dialect_, responds_to_head_request_);
     beast_parser.eager(true);
     beast_parser.header_limit(
         static_cast<std::uint32_t>(limits_.header_bytes_));
     // Beast 1.74 treats an absent limit as zero, so "unlimited" is the largest
     // value.
     beast_parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    beast_parser.skip(responds_to_head_request);
+    beast_parser.skip(responds_to_head_request_);
 }
 
 read_result response_reader::read(std::string_view input, std::string& body)
@@ -307,8 +315,14 @@
         {
             return result;
         }
+        if (++interim_responses_ > max_interim_responses)
+        {
+            return {skipped,
+                    read_state::failed,
+                    error_kind::target_answer_malformed};
+        }
         skipped = result.consumed_;
-        reset(responds_to_head_request_);
+        reset_parser();
     }
 }
 
--- a/modules/av_http/response_reader.hpp
+++ b/modules/av_http/response_reader.hpp
@@ -45,9 +45,14 @@
 
 private:
     struct parser;
+
+    void reset_parser();
+
     http_limits limits_;
     const header_dialect& dialect_;
     bool responds_to_head_request_ = false;
+    // Since the last reset.
+    int interim_responses_ = 0;
     std::unique_ptr<parser> parser_;
 };
 
--- a/modules/av_proxy/target_connection.cpp
+++ b/modules/av_proxy/target_connection.cpp
@@ -14,6 +14,10 @@
 namespace
 {
 
+// A target may repeat the response to an earlier call. More than this is no
+// repetition but a target that sends without end.
+constexpr std::size_t max_skipped_bytes = std::size_t{4} * 1024 * 1024;
+
 namespace asio = boost::asio;
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
@@ -56,6 +60,7 @@
     call_id_.assign(call_id);
     is_head_request_ = is_head_request;
     skipping_response_ = false;
+    skipped_bytes_ = 0;
     reader_.reset(is_head_request);
     output_.clear();
     header_delivered_ = false;
@@ -352,6 +357,15 @@
     {
         observer_->on_response_body(body);
     }
+    if (skipping_response_)
+    {
+        skipped_bytes_ += result.consumed_;
+        if (skipped_bytes_ > max_skipped_bytes)
+        {
+            fail_attempt(error_kind::target_answer_malformed);
+            return 0;
+        }
+    }
     complete = result.state_ == read_state::complete;
     if (complete && skipping_response_)
     {
--- /dev/null
+++ b/modules/av_proxy/tests/endless_bytes_test.cpp
@@ -0,0 +1,220 @@
+// Targets in trouble that send bytes without end, until this VM closes the
+// connection.
+
+#include "relay_fixture.hpp"
+
+#include <vector>
+
+namespace anvilturn::test
+{
+namespace
+{
+
+// More than all buffers on the path take together.
+constexpr std::size_t max_accepted_bytes = std::size_t{16} * 1024 * 1024;
+
+request_path_settings custom_dialect_settings()
+{
+    auto settings = single_thread_settings();
+    settings.buffered_response_bytes_ = 64 * 1024;
+    auto& dialect = settings.dialect_;
+    dialect.call_id_ = "X-Call";
+    dialect.signature_ = "X-Signed";
+    dialect.internal_field_prefix_.clear();
+    dialect.responses_repeat_call_id_ = true;
+    dialect.allows_unframed_responses_ = true;
+    return settings;
+}
+
+release with_timeout(release value, double timeout_ms)
+{
+    value.rules_["kits"].timeout_ = milliseconds(timeout_ms);
+    return value;
+}
+
+// Sends the beginning, then the repeated part until the VM closes the
+// connection, or up to the limit. Returns how many bytes were accepted.
+std::size_t send_without_end(test_connection& connection,
+                             const std::string& beginning,
+                             const std::string& repeated)
+{
+    std::string block;
+    while (block.size() < 16 * 1024)
+    {
+        block += repeated;
+    }
+    boost::system::error_code error;
+    auto& socket = connection.socket();
+    std::size_t sent =
+        boost::asio::write(socket, boost::asio::buffer(beginning), error);
+    while (!error && sent < max_accepted_bytes)
+    {
+        sent += boost::asio::write(socket, boost::asio::buffer(block), error);
+    }
+    return sent;
+}
+
+struct endless_message
+{
+    const char* name_;
+    std::string beginning_;
+    std::string repeated_;
+};
+
+const std::string ok_line = "HTTP/1.1 200 OK\r\nX-Call: 7\r\nX-Signed: 1\r\n";
+
+// None of these is the beginning of a valid response.
+std::vector<endless_message> endless_headers()
+{
+    return {{"start line", "", "x"},
+            {"field value", ok_line + "X-A: ", "a"},
+            {"fields", ok_line, "X-A: b\r\n"},
+            {"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+            {"responses to another call",
+             "",
+             "HTTP/1.1 200 OK\r\nX-Call: 8\r\nX-Signed: 1\r\n"
+             "Content-Length: 0\r\n\r\n"},
+            {"response to another call",
+             "HTTP/1.1 200 OK\r\nX-Call: 8\r\nX-Signed: 1\r\n\r\n",
+             "x"}};
+}
+
+// The framing of the body never ends.
+std::vector<endless_message> endless_framing()
+{
+    const auto chunked = ok_line + "Transfer-Encoding: chunked\r\n\r\n";
+    return {{"chunk size", chunked, "0"},
+            {"chunk extension", chunked + "3;x=", "y"},
+            {"trailers", chunked + "3\r\nabc\r\n0\r\n", "X-A: b\r\n"}};
+}
+
+// Valid but for its length.
+std::vector<endless_message> endless_bodies()
+{
+    return {
+        {"chunks",
+         ok_line + "Transfer-Encoding: chunked\r\n\r\n",
+         "1\r\na\r\n"},
+        {"body without length", ok_line + "\r\n", "x"},
+        {"long body", ok_line + "Content-Length: 99999999999\r\n\r\n", "x"}};
+}
+
+const std::string request = "POST /kits HTTP/1.1\r\nHost: h\r\nX-Call: 7\r\n"
+                            "Content-Length: 0\r\n\r\n";
+
+void expect_malformed(const endless_message& endless)
+{
+    BOOST_TEST_CONTEXT(endless.name_)
+    {
+        scripted_target target;
+        relay vm(with_timeout(make_release({target.address()}), 8000.0),
+                 custom_dialect_settings());
+        auto caller = vm.call();
+        caller.send(request);
+        auto connection = target.accept();
+        connection.read_header();
+        const auto sent =
+            send_without_end(connection, endless.beginning_, endless.repeated_);
+        BOOST_TEST(sent < max_accepted_bytes);
+        BOOST_TEST(outcome_of(caller.read_header()) ==
+                   "unknown target_answer_malformed");
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(endless_bytes)
+
+// No part of a response was relayed, so the caller learns the outcome at once.
+BOOST_AUTO_TEST_CASE(an_endless_header_ends_the_attempt)
+{
+    for (const auto& endless : endless_headers())
+    {
+        expect_malformed(endless);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(endless_framing_ends_the_attempt)
+{
+    for (const auto& endless : endless_framing())
+    {
+        expect_malformed(endless);
+    }
+}
+
+// The caller must be able to tell that the response is incomplete, and one that
+// does not read must not make the VM buffer it.
+BOOST_AUTO_TEST_CASE(an_endless_body_ends_with_the_call)
+{
+    for (const auto& endless : endless_bodies())
+    {
+        BOOST_TEST_CONTEXT(endless.name_)
+        {
+            scripted_target target;
+            relay vm(with_timeout(make_release({target.address()}), 400.0),
+                     custom_dialect_settings());
+            auto caller = vm.call();
+            caller.send(request);
+            auto connection = target.accept();
+            connection.read_header();
+            // The caller reads nothing meanwhile.
+            const auto sent = send_without_end(
+                connection, endless.beginning_, endless.repeated_);
+            BOOST_TEST(sent < max_accepted_bytes);
+            const auto response = caller.read_to_end();
+            BOOST_TEST((caller.end() == boost::asio::error::connection_reset));
+            BOOST_TEST(!contains(response, "\r\n0\r\n\r\n"));
+            BOOST_TEST(vm.path().statistics().answered_ == 0U);
+        }
+    }
+}
+
+// The response is complete and is delivered; what follows is not the beginning
+// of another one.
+BOOST_AUTO_TEST_CASE(endless_bytes_after_a_response_end_the_connection)
+{
+    scripted_target target;
+    relay vm(make_release({target.address()}), custom_dialect_settings());
+    auto caller = vm.call();
+    caller.send(request);
+    auto connection = target.accept();
+    connection.read_header();
+    const auto sent = send_without_end(
+        connection, ok_line + "Content-Length: 3\r\n\r\none", "x");
+    BOOST_TEST(sent < max_accepted_bytes);
+    BOOST_TEST(outcome_of(caller.read_header()) == "answered");
+    BOOST_TEST(caller.read_bytes(3) == "one");
+    caller.send(request);
+    auto next = target.accept();
+    next.read_header();
+    next.send(ok_line + "Content-Length: 3\r\n\r\ntwo");
+    BOOST_TEST(outcome_of(caller.read_header()) == "answered");
+    BOOST_TEST(caller.read_bytes(3) == "two");
+}
+
+// The same from a caller: what is not consumed must not pile up.
+BOOST_AUTO_TEST_CASE(endless_framing_of_a_request_is_refused)
+{
+    const std::string chunked = "POST /kits HTTP/1.1\r\nHost: h\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<endless_message> requests{
+        {"chunk size", chunked, "0"},
+        {"chunk extension", chunked + "3;x=", "y"},
+        {"trailers", chunked + "3\r\nabc\r\n0\r\n", "X-A: b\r\n"}};
+    for (const auto& endless : requests)
+    {
+        BOOST_TEST_CONTEXT(endless.name_)
+        {
+            scripted_target target;
+            relay vm(make_release({target.address()}));
+            auto caller = vm.call();
+            const auto sent =
+                send_without_end(caller, endless.beginning_, endless.repeated_);
+            BOOST_TEST(sent < max_accepted_bytes);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace anvilturn::test
