--- a/modules/av_control/av_control.hpp
+++ b/modules/av_control/av_control.hpp
@@ -1,7 +1,7 @@
 // Purpose: runs the control plane of one VM. It maintains the fleet view, the
 // release in force and the notices about targets, and publishes them to the
 // request path, which keeps working if the control plane stops.
-// Depends on: av_core, av_model, av_membership, av_spread, av_peer,
+// Depends on: av_core, av_model, av_membership, av_net, av_spread, av_peer,
 // av_platform; Boost.Asio and libcrypto (in source files only).
 
 #ifndef AV_CONTROL_AV_CONTROL_HPP
--- a/modules/av_control/control_plane.cpp
+++ b/modules/av_control/control_plane.cpp
@@ -3,6 +3,7 @@
 #include <av_control/control_worker.hpp>
 #include <av_core/error.hpp>
 #include <av_core/monotonic_clock.hpp>
+#include <av_net/event_loop.hpp>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -102,7 +103,7 @@
         thread_ = std::thread(
             [this]
             {
-                context_.run();
+                run_event_loop(context_, "control");
             });
         return absl::OkStatus();
     }
--- a/modules/av_daemon/daemon.cpp
+++ b/modules/av_daemon/daemon.cpp
@@ -21,6 +21,7 @@
 #include <av_feed/store_adapter.hpp>
 #include <av_metrics/latency_recorder.hpp>
 #include <av_net/duration.hpp>
+#include <av_net/event_loop.hpp>
 #include <av_operator/operator_server.hpp>
 #include <av_platform/platform_client.hpp>
 #include <av_platform/platform_keys.hpp>
@@ -134,7 +135,7 @@
 
     int run()
     {
-        context_.run();
+        run_event_loop(context_, "main");
         return graceful_stop_.exit_code();
     }
 
--- a/modules/av_net/av_net.hpp
+++ b/modules/av_net/av_net.hpp
@@ -1,13 +1,14 @@
-// Purpose: networking code shared by the HTTP clients and servers of the
-// control plane and of the operators' interface. Its headers include Asio or
-// Beast, which are slow to compile: include them in source files only.
-// Depends on: av_core, av_yaml (address syntax), Boost.Asio, Beast.
+// Purpose: networking code shared by the event loops and by the HTTP clients
+// and servers of the control plane and of the operators' interface. Its headers
+// include Asio or Beast, which are slow to compile: include them in source
+// files only. Depends on: av_core, av_yaml (address syntax), Boost.Asio, Beast.
 
 #ifndef AV_NET_AV_NET_HPP
 #define AV_NET_AV_NET_HPP
 
 #include <av_net/duration.hpp>
 #include <av_net/endpoint.hpp>
+#include <av_net/event_loop.hpp>
 #include <av_net/http_caller.hpp>
 #include <av_net/http_exchange.hpp>
 
--- a/modules/av_proxy/worker.cpp
+++ b/modules/av_proxy/worker.cpp
@@ -4,6 +4,7 @@
 #include <av_core/log_event.hpp>
 #include <av_core/monotonic_clock.hpp>
 #include <av_net/endpoint.hpp>
+#include <av_net/event_loop.hpp>
 #include <av_proxy/caller_connection.hpp>
 #include <av_proxy/outlier_check.hpp>
 #include <av_proxy/proxied_call.hpp>
@@ -150,7 +151,7 @@
 {
     cached_now_ = monotonic_now();
     tick();
-    context_.run();
+    run_event_loop(context_, "worker");
 }
 
 void worker::stop_accepting()
--- a/modules/av_replication/tests/replication_test.cpp
+++ b/modules/av_replication/tests/replication_test.cpp
@@ -155,6 +155,35 @@
     }
 }
 
+// Peers may run another version or be broken: no message of theirs may end this
+// VM.
+RC_BOOST_PROP(mutated_messages_are_read_or_refused, ())
+{
+    registry_update update;
+    update.release_ = make_release(7);
+    for (const char* name : {"a", "b", "c"})
+    {
+        target_change change;
+        change.object_ = {name, 3, target(name, 3).spec_, ""};
+        update.changes_.push_back(change);
+    }
+    auto body = write_update(update).substr(frame_header_bytes);
+    auto subscription =
+        write_subscription({5, 6, 7, false}).substr(frame_header_bytes);
+    const auto changes = *rc::gen::inRange(1, 8);
+    for (int i = 0; i < changes; ++i)
+    {
+        for (auto* bytes : {&body, &subscription})
+        {
+            const auto at = *rc::gen::inRange<std::size_t>(0, bytes->size());
+            (*bytes)[at] = *rc::gen::arbitrary<char>();
+        }
+    }
+    body.resize(*rc::gen::inRange<std::size_t>(0, body.size() + 1));
+    (void)read_update(body, service_spec());
+    (void)read_subscription(subscription);
+}
+
 BOOST_AUTO_TEST_CASE(an_update_carries_only_a_newer_release)
 {
     registry_log log;
