Appoint standbys that watch the store while no watcher reaches it

Change: a watcher appoints two subscribers as standbys and names them in its updates. A standby follows the store once the watcher's last answer is 0.7 s old and serves others; it calls the store as often as a watcher, keeps its subscription and follows no other standby. Other VMs prefer watchers and go back to them.

--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -43,6 +43,9 @@
 // It is longer at startup, when the watchers may be starting too.
 constexpr milliseconds store_fallback_delay_at_startup{1500.0};
 constexpr milliseconds store_fallback_delay{300.0};
+// A standby asks the store once the store's last answer to its watcher is this
+// old, so that it has the store's contents when other VMs leave the watcher.
+constexpr milliseconds standby_takeover_age{700.0};
 // How often a VM without a watcher searches for one. It searches more often at
 // startup, when the watchers may become available a little later.
 constexpr milliseconds watcher_search_interval{500.0};
@@ -73,6 +76,7 @@
         , watchers_(
               make_watcher_records(options_.watchers_, options_.peer_address_))
         , is_watcher_(watchers_.empty())
+        , publishes_(is_watcher_)
         , random_(std::random_device()())
         , expiry_timer_(context)
         , watcher_search_timer_(context)
@@ -84,6 +88,7 @@
                              : subscriber_call_intervals)
         , server_(context,
                   options_.failure_domain_,
+                  is_watcher_,
                   [this]
                   {
                       return monotonic_now() - answered_at();
@@ -174,7 +179,8 @@
         }
         state_.version_ = value->version_;
         state_.release_at_ = monotonic_now();
-        if (is_watcher_)
+        release_ = value;
+        if (publishes_)
         {
             server_.publish_release(value);
         }
@@ -184,7 +190,7 @@
     void publish_registry(store_revision revision)
     {
         revision_ = std::max(revision_, revision);
-        if (is_watcher_)
+        if (publishes_)
         {
             server_.publish_targets(registry_.entries_, revision_);
         }
@@ -324,6 +330,7 @@
         needs_snapshot_ = false;
         auto position = position_;
         position.status_query_only_ = is_status_query_;
+        position.peer_address_ = options_.peer_address_;
         client_->start(watcher.address_, position);
     }
 
@@ -363,6 +370,10 @@
 
     bool handle_update(const registry_update& update)
     {
+        if (update.standbys_)
+        {
+            apply_standbys(*update.standbys_);
+        }
         auto& watcher = watchers_[*watcher_];
         const auto now = monotonic_now();
         const bool store_reachable =
@@ -374,6 +385,7 @@
             end_cause_ = subscription_end_cause::abandoned;
             return false;
         }
+        prepare_takeover(update.store_response_age_);
         if (!store_reachable)
         {
             return handle_unreachable_store(update, now);
@@ -409,6 +421,54 @@
         return true;
     }
 
+    void apply_standbys(const std::vector<std::string>& standbys)
+    {
+        record_standbys(watchers_, standbys, options_.peer_address_, watcher_);
+        const bool is_standby =
+            !options_.peer_address_.empty() &&
+            std::find(standbys.begin(),
+                      standbys.end(),
+                      options_.peer_address_) != standbys.end();
+        if (std::exchange(is_standby_, is_standby) == is_standby)
+        {
+            return;
+        }
+        // Subscribers depend on how recent its answers are, like a watcher's.
+        store_.set_intervals(is_standby ? watcher_call_intervals
+                                        : subscriber_call_intervals);
+        log_event(log_level::info, "standby_changed")
+            .field("standby", is_standby)
+            .field("watcher", watchers_[*watcher_].address_)
+            .write();
+        if (is_standby && !std::exchange(publishes_, true) && release_)
+        {
+            server_.publish_release(release_);
+            server_.publish_targets(registry_.entries_, revision_);
+        }
+    }
+
+    // On a standby, follows the store while the watcher's answers from it are
+    // old.
+    void prepare_takeover(milliseconds store_response_age)
+    {
+        if (!is_standby_)
+        {
+            return;
+        }
+        const bool takes_over = store_response_age > standby_takeover_age;
+        if (takes_over && !store_.is_running())
+        {
+            log_event(log_level::info, "standby_takeover")
+                .field("store_answered_ago_ms", store_response_age.count())
+                .write();
+            store_.start_with_check();
+        }
+        else if (!takes_over && receives_updates_ && store_.is_running())
+        {
+            store_.stop();
+        }
+    }
+
     // Handles an update from a watcher that does not reach the store. Its
     // contents are ignored; if there are any, later changes can't be applied
     // before the next snapshot. Returns whether to keep the subscription.
@@ -418,7 +478,9 @@
         needs_snapshot_ = needs_snapshot_ || update.is_snapshot_ ||
                           !update.changes_.empty() || update.release_;
         record_update_loss("the store does not answer the watcher", now);
-        if (should_keep_watcher(watchers_, *watcher_, now))
+        // A standby that left would be replaced by another VM, which would have
+        // to read the store anew.
+        if (is_standby_ || should_keep_watcher(watchers_, *watcher_, now))
         {
             return true;
         }
@@ -448,7 +510,14 @@
             apply_changes(registry_, update.changes_, now);
             publish_registry(update.store_revision_);
         }
-        revision_ = std::max(revision_, update.store_revision_);
+        if (update.store_revision_ > revision_)
+        {
+            revision_ = update.store_revision_;
+            if (publishes_)
+            {
+                server_.publish_targets(registry_.entries_, revision_);
+            }
+        }
     }
 
     void handle_subscription_end(const std::string& reason)
@@ -476,7 +545,8 @@
             .field("reason", reason)
             .field("store_answered_ago_ms", (now - state_.answered_at_).count())
             .write();
-        schedule_store_fallback(store_fallback_delay);
+        schedule_store_fallback(is_standby_ ? milliseconds(0.0)
+                                            : store_fallback_delay);
     }
 
     void schedule_store_fallback(milliseconds time)
@@ -485,7 +555,7 @@
         store_fallback_timer_.async_wait(
             [this](const boost::system::error_code& error)
             {
-                if (!error && !receives_updates_)
+                if (!error && !receives_updates_ && !store_.is_running())
                 {
                     log_event(log_level::info, "store_followed").write();
                     store_.start_with_check();
@@ -498,10 +568,13 @@
     const std::string release_name_;
     registry_handlers handlers_;
     std::vector<watcher_record> watchers_;
-    // Other VMs keep no contents for subscribers, which take time and memory
-    // with each change; if one subscribes, it learns that it must look
-    // elsewhere.
     const bool is_watcher_;
+    // Whether this VM is a standby of its watcher.
+    bool is_standby_ = false;
+    // Whether contents are kept for subscribers, which takes time and memory
+    // with each change: on watchers, and on VMs that were a standby, since they
+    // may have subscribers still. Others tell those to look elsewhere.
+    bool publishes_;
     std::minstd_rand random_;
     asio::steady_timer expiry_timer_;
     asio::steady_timer watcher_search_timer_;
@@ -511,6 +584,7 @@
     std::map<std::string, target_spec> published_;
     // Revision of the store up to which this VM knows the targets.
     store_revision revision_ = 0;
+    std::shared_ptr<const release> release_;
     std::optional<std::size_t> watcher_;
     replication_position position_;
     bool receives_updates_ = false;
--- a/modules/av_feed/store_session.cpp
+++ b/modules/av_feed/store_session.cpp
@@ -66,6 +66,11 @@
         targets_.stop();
     }
 
+    void set_intervals(const store_call_intervals& intervals)
+    {
+        intervals_ = intervals;
+    }
+
     bool is_running() const
     {
         return running_;
@@ -278,7 +283,7 @@
 
     store_calls calls_;
     store_observer observer_;
-    const store_call_intervals intervals_;
+    store_call_intervals intervals_;
     std::minstd_rand random_;
     asio::steady_timer timer_;
     collection_feed<release> releases_;
@@ -318,6 +323,11 @@
     implementation_->stop();
 }
 
+void store_session::set_intervals(const store_call_intervals& intervals)
+{
+    implementation_->set_intervals(intervals);
+}
+
 bool store_session::is_running() const
 {
     return implementation_->is_running();
--- a/modules/av_feed/store_session.hpp
+++ b/modules/av_feed/store_session.hpp
@@ -60,6 +60,9 @@
     void start_with_check();
     void stop();
 
+    // Sets how often the store is called from the next call on.
+    void set_intervals(const store_call_intervals& intervals);
+
     bool is_running() const;
 
     // Returns when the store last answered; zero if never.
--- a/modules/av_feed/tests/registry_control_test.cpp
+++ b/modules/av_feed/tests/registry_control_test.cpp
@@ -7,6 +7,7 @@
 
 #include <av_feed/registry_control.hpp>
 #include <av_replication/registry_publisher.hpp>
+#include <av_replication/registry_subscriber.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
@@ -14,6 +15,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -37,6 +39,7 @@
                      const std::string& failure_domain)
         : server_(context,
                   failure_domain,
+                  true,
                   [this]
                   {
                       return store_response_age_;
@@ -65,12 +68,68 @@
     registry_publisher server_;
 };
 
+// A subscriber that records what the publisher at the address sends.
+struct plain_subscriber
+{
+    plain_subscriber(boost::asio::io_context& context, std::string address)
+        : address_(std::move(address))
+        , client_(context, service_spec(), handlers())
+    {
+    }
+
+    void subscribe(const std::string& peer_address)
+    {
+        replication_position position;
+        position.peer_address_ = peer_address;
+        client_.start(address_, position);
+    }
+
+    subscriber_handlers handlers()
+    {
+        subscriber_handlers result;
+        result.on_update_ = [this](const registry_update& update)
+        {
+            record(update);
+            return true;
+        };
+        result.on_end_ = [](const std::string&) {};
+        return result;
+    }
+
+    void record(const registry_update& update)
+    {
+        standbys_ = update.standbys_.value_or(standbys_);
+        version_ = update.release_ ? update.release_->version_ : version_;
+        ++updates_;
+        if (update.is_snapshot_)
+        {
+            targets_.clear();
+        }
+        for (const auto& change : update.changes_)
+        {
+            targets_.erase(change.object_.name_);
+            if (!change.removed_)
+            {
+                targets_.insert(change.object_.name_);
+            }
+        }
+    }
+
+    const std::string address_;
+    std::vector<std::string> standbys_;
+    std::set<std::string> targets_;
+    release_version version_ = 0;
+    int updates_ = 0;
+    registry_subscriber client_;
+};
+
 // A VM of failure domain a with one watcher there and one in domain b.
 struct subscribed_vm
 {
     // By default the heartbeat interval is so long that no outage lets entries
     // expire.
-    explicit subscribed_vm(milliseconds heartbeat_interval = no_expiry)
+    explicit subscribed_vm(milliseconds heartbeat_interval = no_expiry,
+                           const std::string& peer_address = "")
         : store_(context_)
         , local_watcher_(context_, "127.0.30.8:0", "a")
         , remote_watcher_(context_, "127.0.30.9:0", "b")
@@ -83,6 +142,7 @@
         registry_options options;
         options.failure_domain_ = "a";
         options.target_heartbeat_interval_ = heartbeat_interval;
+        options.peer_address_ = peer_address;
         options.watchers_ = {local_watcher_.server_.address(),
                              remote_watcher_.server_.address()};
         registry_handlers handlers;
@@ -258,6 +318,72 @@
         });
 }
 
+// All other VMs would read the store themselves, which costs as many calls as
+// there are VMs.
+BOOST_AUTO_TEST_CASE(a_standby_serves_if_no_watcher_reaches_the_store)
+{
+    subscribed_vm vm;
+    vm.run_until_subscribed_to(vm.local_watcher_);
+    scripted_watcher standby(vm.context_, "127.0.30.10:0", "a");
+    standby.publish(3, {"x"}, 11);
+    plain_subscriber appointed(vm.context_,
+                               vm.local_watcher_.server_.address());
+    appointed.subscribe(standby.server_.address());
+    vm.run_until(
+        [&]
+        {
+            return appointed.standbys_ ==
+                   std::vector<std::string>{standby.server_.address()};
+        });
+    vm.store_.down_ = true;
+    vm.local_watcher_.store_response_age_ = stale_response_age;
+    vm.remote_watcher_.store_response_age_ = stale_response_age;
+    vm.run_until_subscribed_to(standby);
+    BOOST_TEST(vm.targets_.size() == 1U);
+    BOOST_TEST(vm.store_.targets_.lists_ == 0);
+    // The watchers replace it when they reach the store again.
+    vm.local_watcher_.publish(4, {"x"}, 12);
+    vm.local_watcher_.store_response_age_ = recent_response_age;
+    vm.remote_watcher_.store_response_age_ = recent_response_age;
+    vm.run_until(
+        [&]
+        {
+            return vm.control_->state().version_ == 4U;
+        });
+}
+
+// A standby has the store's contents when others leave the watcher.
+BOOST_AUTO_TEST_CASE(a_standby_follows_the_store_for_others)
+{
+    const std::string peer_address = "127.0.30.11:28711";
+    subscribed_vm vm(no_expiry, peer_address);
+    vm.run_until_subscribed_to(vm.local_watcher_);
+    vm.store_.put_release(5);
+    vm.store_.put("z");
+    vm.local_watcher_.store_response_age_ = stale_response_age;
+    vm.remote_watcher_.store_response_age_ = stale_response_age;
+    plain_subscriber other(vm.context_, peer_address);
+    other.subscribe("");
+    vm.run_until(
+        [&]
+        {
+            return other.targets_ == std::set<std::string>{"z"};
+        });
+    BOOST_TEST(other.version_ == 5U);
+    BOOST_TEST(other.standbys_.empty());
+    // It stays with its watcher, which would appoint another standby otherwise,
+    // even if another watcher reaches the store.
+    vm.remote_watcher_.store_response_age_ = recent_response_age;
+    const int watched = vm.store_.checks_;
+    const int updates = other.updates_;
+    vm.run_until_checked(watched + 6);
+    // It asks the store about as often as it sends heartbeats, so that its
+    // subscribers always have a recent answer.
+    BOOST_TEST(other.updates_ - updates <= 15);
+    BOOST_TEST(vm.local_watcher_.server_.subscribers() == 1U);
+    BOOST_TEST(vm.remote_watcher_.server_.subscribers() == 0U);
+}
+
 // Changes from a watcher that does not reach the store are ignored, so later
 // ones can't be applied without a snapshot.
 BOOST_AUTO_TEST_CASE(a_snapshot_replaces_updates_ignored_during_an_outage)
--- a/modules/av_registry/tests/watcher_choice_test.cpp
+++ b/modules/av_registry/tests/watcher_choice_test.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <optional>
+
 #include <set>
 #include <string>
 #include <vector>
@@ -145,4 +148,68 @@
                    .has_value());
 }
 
+BOOST_AUTO_TEST_CASE(standbys_stay_appointed_while_they_subscribe)
+{
+    using addresses = std::vector<std::string>;
+    BOOST_TEST((choose_standbys({}, {"a", "b", "c"}) == addresses{"a", "b"}));
+    BOOST_TEST(
+        (choose_standbys({"c", "b"}, {"a", "b", "c"}) == addresses{"c", "b"}));
+    BOOST_TEST(
+        (choose_standbys({"c", "b"}, {"a", "b"}) == addresses{"b", "a"}));
+    BOOST_TEST(choose_standbys({"c"}, {}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_limited_number_of_standbys_is_remembered)
+{
+    auto watchers = make_watcher_records({"w"}, "own");
+    record_standbys(watchers, {"s1", "s2", "own-other"}, "own", 0);
+    BOOST_TEST_REQUIRE(watchers.size() == 4U);
+    for (int number = 3; number < 20; ++number)
+    {
+        record_standbys(
+            watchers, {"s" + std::to_string(number)}, "own", std::size_t{1});
+    }
+    BOOST_TEST(watchers.size() == 1U + max_known_standbys);
+    BOOST_TEST(!watchers[0].standby_);
+    // The one in use keeps its place, and the newest is known.
+    BOOST_TEST(watchers[1].address_ == "s1");
+    const bool newest_known = std::any_of(watchers.begin(),
+                                          watchers.end(),
+                                          [](const watcher_record& watcher)
+                                          {
+                                              return watcher.address_ == "s19";
+                                          });
+    BOOST_TEST(newest_known);
+}
+
+BOOST_AUTO_TEST_CASE(a_standby_is_used_only_if_no_watcher_reaches_the_store)
+{
+    const milliseconds now(1000.0);
+    auto watchers = make_watcher_records({"w"}, "own");
+    record_standbys(watchers, {"s"}, "own", std::nullopt);
+    watchers[0].failure_domain_ = "b";
+    watchers[1].failure_domain_ = "a";
+    BOOST_TEST((choose_watcher(watchers, "a", 1, now) == std::size_t{0}));
+    BOOST_TEST(!has_better_watcher(watchers, 0, "a", now));
+    BOOST_TEST(has_better_watcher(watchers, 1, "a", now));
+    record_watcher_status(watchers[0], false, false, now);
+    BOOST_TEST((choose_watcher(watchers, "a", 0, now) == std::size_t{1}));
+    BOOST_TEST(!should_keep_watcher(watchers, 0, now));
+    BOOST_TEST(!has_better_watcher(watchers, 1, "a", now));
+}
+
+// Standbys that followed each other would pass on what none of them reads.
+BOOST_AUTO_TEST_CASE(standbys_do_not_follow_each_other)
+{
+    const milliseconds now(1000.0);
+    auto watchers = make_watcher_records({"w"}, "own");
+    record_standbys(watchers, {"s", "own"}, "own", std::nullopt);
+    BOOST_TEST_REQUIRE(watchers.size() == 2U);
+    record_watcher_status(watchers[0], false, false, now);
+    BOOST_TEST((choose_watcher(watchers, "a", 0, now) == std::size_t{0}));
+    BOOST_TEST(should_keep_watcher(watchers, 0, now));
+    record_standbys(watchers, {"s", "t"}, "own", std::nullopt);
+    BOOST_TEST(!should_keep_watcher(watchers, 0, now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/av_registry/watcher_choice.cpp
+++ b/modules/av_registry/watcher_choice.cpp
@@ -48,11 +48,19 @@
 // itself reachable and will notice the recovery of the store first.
 bool may_query(const watcher_record& watcher, milliseconds now)
 {
-    return !watcher.failed_at_ || reports_store_unreachable(watcher, now) ||
-           now >= *watcher.failed_at_ + watcher_retry_delay;
+    return !watcher.excluded_ &&
+           (!watcher.failed_at_ || reports_store_unreachable(watcher, now) ||
+            now >= *watcher.failed_at_ + watcher_retry_delay);
 }
 
-// Compares by reachability of the store, then by backoff, then by proximity.
+bool may_reach_store(const watcher_record& watcher, milliseconds now)
+{
+    return !watcher.excluded_ && is_backoff_over(watcher, now) &&
+           !reports_store_unreachable(watcher, now);
+}
+
+// Compares by reachability of the store, then by backoff, then by kind, then by
+// proximity.
 bool is_preferred(const watcher_record& a,
                   const watcher_record& b,
                   const std::string& local_domain,
@@ -69,9 +77,49 @@
     {
         return a_backoff_over;
     }
+    if (a.standby_ != b.standby_)
+    {
+        return b.standby_;
+    }
     return proximity_of(a, local_domain) < proximity_of(b, local_domain);
 }
 
+bool contains(const std::vector<std::string>& list, const std::string& value)
+{
+    return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+// Returns the record of the address, a new one, or one that may be replaced;
+// null if there is none.
+watcher_record* record_for_standby(std::vector<watcher_record>& watchers,
+                                   const std::vector<std::string>& standbys,
+                                   const std::string& address,
+                                   std::optional<std::size_t> in_use)
+{
+    watcher_record* replaceable = nullptr;
+    std::size_t known = 0;
+    for (std::size_t index = 0; index < watchers.size(); ++index)
+    {
+        auto& watcher = watchers[index];
+        if (watcher.address_ == address)
+        {
+            return &watcher;
+        }
+        known += watcher.standby_ ? 1U : 0U;
+        const bool is_unused = watcher.standby_ && index != in_use &&
+                               !contains(standbys, watcher.address_);
+        if (is_unused && replaceable == nullptr)
+        {
+            replaceable = &watcher;
+        }
+    }
+    if (known < max_known_standbys)
+    {
+        return &watchers.emplace_back();
+    }
+    return replaceable;
+}
+
 } // namespace
 
 void record_watcher_failure(watcher_record& watcher, milliseconds now)
@@ -113,9 +161,7 @@
 {
     for (std::size_t index = 0; index < watchers.size(); ++index)
     {
-        const auto& other = watchers[index];
-        if (index != current && is_backoff_over(other, now) &&
-            !reports_store_unreachable(other, now))
+        if (index != current && may_reach_store(watchers[index], now))
         {
             return false;
         }
@@ -123,6 +169,53 @@
     return true;
 }
 
+std::vector<std::string>
+choose_standbys(const std::vector<std::string>& current,
+                const std::vector<std::string>& subscribers)
+{
+    std::vector<std::string> result;
+    for (const auto& address : current)
+    {
+        if (contains(subscribers, address))
+        {
+            result.push_back(address);
+        }
+    }
+    for (const auto& address : subscribers)
+    {
+        if (result.size() < max_standbys && !contains(result, address))
+        {
+            result.push_back(address);
+        }
+    }
+    return result;
+}
+
+void record_standbys(std::vector<watcher_record>& watchers,
+                     const std::vector<std::string>& standbys,
+                     const std::string& local_address,
+                     std::optional<std::size_t> in_use)
+{
+    for (const auto& address : standbys)
+    {
+        auto* record =
+            address == local_address
+                ? nullptr
+                : record_for_standby(watchers, standbys, address, in_use);
+        if (record != nullptr && record->address_ != address)
+        {
+            *record = {};
+            record->address_ = address;
+            record->standby_ = true;
+        }
+    }
+    const bool is_standby = contains(standbys, local_address);
+    for (auto& watcher : watchers)
+    {
+        watcher.excluded_ = watcher.standby_ && is_standby;
+    }
+}
+
 std::vector<watcher_record>
 make_watcher_records(const std::vector<std::string>& addresses,
                      const std::string& local_address)
@@ -170,16 +263,16 @@
                         const std::string& local_domain,
                         milliseconds now)
 {
-    return std::any_of(watchers.begin(),
-                       watchers.end(),
-                       [&](const watcher_record& watcher)
-                       {
-                           return is_backoff_over(watcher, now) &&
-                                  !reports_store_unreachable(watcher, now) &&
-                                  proximity_of(watcher, local_domain) <
-                                      proximity_of(watchers[current],
-                                                   local_domain);
-                       });
+    const auto& used = watchers[current];
+    return std::any_of(
+        watchers.begin(),
+        watchers.end(),
+        [&](const watcher_record& watcher)
+        {
+            return !watcher.standby_ && may_reach_store(watcher, now) &&
+                   (used.standby_ || proximity_of(watcher, local_domain) <
+                                         proximity_of(used, local_domain));
+        });
 }
 
 } // namespace anvilturn
--- a/modules/av_registry/watcher_choice.hpp
+++ b/modules/av_registry/watcher_choice.hpp
@@ -25,8 +25,33 @@
     // When it last reported its status, and whether it reached the store then.
     std::optional<milliseconds> last_contact_at_;
     bool store_reachable_ = false;
+    // Whether it is a standby: an ordinary VM that watches the store only while
+    // the watchers that the settings name can't.
+    bool standby_ = false;
+    // Whether this VM must not subscribe to it.
+    bool excluded_ = false;
 };
 
+// Number of standbys that a watcher appoints, and that a VM remembers.
+constexpr std::size_t max_standbys = 2;
+constexpr std::size_t max_known_standbys = 6;
+
+// Returns the standbys of a watcher: the current ones that still subscribe, and
+// others in their place.
+std::vector<std::string>
+choose_standbys(const std::vector<std::string>& current,
+                const std::vector<std::string>& subscribers);
+
+// Adds the standbys to the records, up to the number to remember; a record of
+// an earlier standby that is not in use is replaced. If the local address is
+// among them, this VM is a standby, and all other standbys are excluded, since
+// standbys that follow each other would follow no one. The records keep their
+// places.
+void record_standbys(std::vector<watcher_record>& watchers,
+                     const std::vector<std::string>& standbys,
+                     const std::string& local_address,
+                     std::optional<std::size_t> in_use);
+
 // Time after a failure during which a watcher is not queried again.
 constexpr milliseconds watcher_retry_delay{1000.0};
 
@@ -70,18 +95,19 @@
 
 // Returns the index of the watcher to query, or nothing if all have failed
 // recently. Prefers watchers that do not report the store as unreachable, then
-// those without a backoff, then those in the local failure domain, then those
-// in an unknown one. Among equals the first one from first_index on is taken: a
-// random index spreads the VMs over the watchers, the index of the current
-// watcher keeps that one.
+// those without a backoff, then those that are no standbys, then those in the
+// local failure domain, then those in an unknown one. Among equals the first
+// one from first_index on is taken: a random index spreads the VMs over the
+// watchers, the index of the current watcher keeps that one.
 std::optional<std::size_t>
 choose_watcher(const std::vector<watcher_record>& watchers,
                const std::string& local_domain,
                std::size_t first_index,
                milliseconds now);
 
-// Returns whether a watcher in a nearer failure domain should be used instead
-// of the current one, which has answered. A watcher that has failed is
+// Returns whether a watcher in a nearer failure domain, or any watcher in place
+// of a standby, should be used instead of the current one, which has answered.
+// Standbys are no better than others. A watcher that has failed is
 // considered only after a backoff, which doubles with each failure up to a
 // limit.
 bool has_better_watcher(const std::vector<watcher_record>& watchers,
--- a/modules/av_replication/mirror.capnp
+++ b/modules/av_replication/mirror.capnp
@@ -17,6 +17,9 @@
   # Whether this is a status query, which requests only the watcher's failure
   # domain and the age of the store's last response to it.
   greeting @3 :Bool;
+  # Where the subscriber accepts subscribers itself, IP address and port; empty
+  # if it accepts none.
+  peerAddress @4 :Text;
 }
 
 struct RegisteredTarget {
@@ -81,4 +84,8 @@
   storeRevision @6 :UInt64;
   # Failure domain of the watcher.
   failureDomain @7 :Text;
+  # Whether the message names the standbys, and their addresses. A standby is a
+  # subscriber that watches the store itself if the watchers can't.
+  namesStandbys @8 :Bool;
+  standbys @9 :List(Text);
 }
--- a/modules/av_replication/mirror.capnp.h
+++ b/modules/av_replication/mirror.capnp.h
@@ -38,7 +38,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8548c593ff263953, 4, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8548c593ff263953, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -128,7 +128,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(971515f098bbaeb6, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(971515f098bbaeb6, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -162,6 +162,9 @@
 
   inline bool getGreeting() const;
 
+  inline bool hasPeerAddress() const;
+  inline  ::capnp::Text::Reader getPeerAddress() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -202,6 +205,13 @@
   inline bool getGreeting();
   inline void setGreeting(bool value);
 
+  inline bool hasPeerAddress();
+  inline  ::capnp::Text::Builder getPeerAddress();
+  inline void setPeerAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPeerAddress(unsigned int size);
+  inline void adoptPeerAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPeerAddress();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -829,6 +839,11 @@
   inline bool hasFailureDomain() const;
   inline  ::capnp::Text::Reader getFailureDomain() const;
 
+  inline bool getNamesStandbys() const;
+
+  inline bool hasStandbys() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getStandbys() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -893,6 +908,17 @@
   inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
 
+  inline bool getNamesStandbys();
+  inline void setNamesStandbys(bool value);
+
+  inline bool hasStandbys();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getStandbys();
+  inline void setStandbys( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setStandbys(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initStandbys(unsigned int size);
+  inline void adoptStandbys(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownStandbys();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -978,6 +1004,40 @@
       ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Subscription::Reader::hasPeerAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Subscription::Builder::hasPeerAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Subscription::Reader::getPeerAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Subscription::Builder::getPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Subscription::Builder::setPeerAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Subscription::Builder::initPeerAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Subscription::Builder::adoptPeerAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Subscription::Builder::disownPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool RegisteredTarget::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1827,6 +1887,58 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Update::Reader::getNamesStandbys() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool Update::Builder::getNamesStandbys() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void Update::Builder::setNamesStandbys(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Update::Reader::hasStandbys() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Update::Builder::hasStandbys() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Update::Reader::getStandbys() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Update::Builder::getStandbys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Update::Builder::setStandbys( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void Update::Builder::setStandbys(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Update::Builder::initStandbys(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Update::Builder::adoptStandbys(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Update::Builder::disownStandbys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/modules/av_replication/registry_publisher.cpp
+++ b/modules/av_replication/registry_publisher.cpp
@@ -4,6 +4,7 @@
 #include <av_core/log_event.hpp>
 #include <av_net/duration.hpp>
 #include <av_net/endpoint.hpp>
+#include <av_registry/watcher_choice.hpp>
 #include <av_replication/replication_timing.hpp>
 #include <av_replication/update_codec.hpp>
 
@@ -13,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <optional>
@@ -20,6 +22,7 @@
 #include <set>
 #include <sstream>
 #include <utility>
+#include <vector>
 
 namespace anvilturn
 {
@@ -55,8 +58,10 @@
 public:
     implementation(asio::io_context& context,
                    const std::string& failure_domain,
+                   bool appoints_standbys,
                    std::function<milliseconds()> store_response_age)
         : context_(context)
+        , appoints_standbys_(appoints_standbys)
         , measure_store_response_age_(std::move(store_response_age))
         , acceptor_(context)
         , timer_(context)
@@ -181,7 +186,7 @@
                 return;
             }
             is_up_to_date_ = owner_.has_complete_state();
-            send(is_up_to_date_ ? owner_.frame_since(*position_)
+            send(is_up_to_date_ ? owner_.frame_since(*position_, true)
                                 : owner_.status_frame());
         }
 
@@ -205,6 +210,13 @@
             socket_.close(ignored);
         }
 
+        // Returns where the subscriber accepts subscribers itself; empty if it
+        // accepts none, or until its subscription has arrived.
+        std::string peer_address() const
+        {
+            return position_ ? position_->peer_address_ : std::string();
+        }
+
     private:
         void on_header(const error_code& error)
         {
@@ -240,6 +252,7 @@
             {
                 position_ = *position;
                 notify(nullptr);
+                owner_.appoint_missing_standbys();
             }
             watch_for_close();
         }
@@ -318,7 +331,42 @@
     void disconnect(const std::shared_ptr<session>& value)
     {
         value->close();
-        sessions_.erase(value);
+        const bool was_standby =
+            std::find(standbys_.begin(),
+                      standbys_.end(),
+                      value->peer_address()) != standbys_.end();
+        if (sessions_.erase(value) != 0 && was_standby)
+        {
+            appoint_standbys();
+        }
+    }
+
+    void appoint_missing_standbys()
+    {
+        if (appoints_standbys_ && standbys_.size() < max_standbys)
+        {
+            appoint_standbys();
+        }
+    }
+
+    // Appoints standbys in place of those that no longer subscribe, and names
+    // them to all subscribers.
+    void appoint_standbys()
+    {
+        std::vector<std::string> subscribers;
+        for (const auto& session : sessions_)
+        {
+            if (auto address = session->peer_address(); !address.empty())
+            {
+                subscribers.push_back(std::move(address));
+            }
+        }
+        auto standbys = choose_standbys(standbys_, subscribers);
+        if (standbys != standbys_)
+        {
+            standbys_ = std::move(standbys);
+            notify(position(), true);
+        }
     }
 
     replication_position position() const
@@ -326,12 +374,18 @@
         return {log_.epoch_,
                 log_.sequence_,
                 log_.release_ ? log_.release_->version_ : 0,
-                false};
+                false,
+                {}};
     }
 
-    shared_frame frame_since(const replication_position& since) const
+    shared_frame frame_since(const replication_position& since,
+                             bool names_standbys) const
     {
         auto update = update_since(log_, since);
+        if (names_standbys && appoints_standbys_)
+        {
+            update.standbys_ = standbys_;
+        }
         update.store_response_age_ = measure_store_response_age_();
         return std::make_shared<const std::string>(write_update(update));
     }
@@ -356,13 +410,13 @@
 
     // Sends what follows the position to all subscribers. One update serves
     // them all, since each has reached the same position after its first one.
-    void notify(const replication_position& since)
+    void notify(const replication_position& since, bool names_standbys = false)
     {
         if (sessions_.empty())
         {
             return;
         }
-        const auto frame = frame_since(since);
+        const auto frame = frame_since(since, names_standbys);
         const auto sessions = sessions_;
         for (const auto& session : sessions)
         {
@@ -386,6 +440,8 @@
     }
 
     asio::io_context& context_;
+    const bool appoints_standbys_;
+    std::vector<std::string> standbys_;
     std::function<milliseconds()> measure_store_response_age_;
     tcp::acceptor acceptor_;
     asio::steady_timer timer_;
@@ -396,9 +452,13 @@
 registry_publisher::registry_publisher(
     asio::io_context& context,
     const std::string& failure_domain,
+    bool appoints_standbys,
     std::function<milliseconds()> store_response_age)
-    : implementation_(std::make_shared<implementation>(
-          context, failure_domain, std::move(store_response_age)))
+    : implementation_(
+          std::make_shared<implementation>(context,
+                                           failure_domain,
+                                           appoints_standbys,
+                                           std::move(store_response_age)))
 {
 }
 
--- a/modules/av_replication/registry_publisher.hpp
+++ b/modules/av_replication/registry_publisher.hpp
@@ -29,9 +29,11 @@
 {
 public:
     // The failure domain is that of this VM. The function returns the time
-    // since the store last answered.
+    // since the store last answered. A publisher that appoints standbys names
+    // them to its subscribers.
     registry_publisher(boost::asio::io_context& context,
                        const std::string& failure_domain,
+                       bool appoints_standbys,
                        std::function<milliseconds()> store_response_age);
     ~registry_publisher();
     registry_publisher(const registry_publisher&) = delete;
--- a/modules/av_replication/registry_update.hpp
+++ b/modules/av_replication/registry_update.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,9 @@
     // Whether this is a status query, which requests only the watcher's failure
     // domain and the age of the store's last response to it.
     bool status_query_only_ = false;
+    // Where the subscriber accepts subscribers itself, IP address and port;
+    // empty if it accepts none.
+    std::string peer_address_{};
 };
 
 // A message from a watcher to its subscribers.
@@ -44,6 +48,9 @@
     std::vector<target_change> changes_;
     // Null unless it is newer than the release of the receiver.
     std::shared_ptr<const release> release_;
+    // Addresses of the standbys: subscribers that watch the store themselves
+    // and serve others if the watchers can't. Nothing if they are as before.
+    std::optional<std::vector<std::string>> standbys_;
 };
 
 } // namespace anvilturn
--- a/modules/av_replication/tests/replication_test.cpp
+++ b/modules/av_replication/tests/replication_test.cpp
@@ -73,6 +73,7 @@
     publisher_and_subscriber()
         : server_(context_,
                   "a",
+                  true,
                   []
                   {
                       return milliseconds(5.0);
--- a/modules/av_replication/update_codec.cpp
+++ b/modules/av_replication/update_codec.cpp
@@ -282,6 +282,7 @@
     builder.setSequence(position.sequence_);
     builder.setReleaseVersion(position.release_version_);
     builder.setGreeting(position.status_query_only_);
+    builder.setPeerAddress(to_text(position.peer_address_));
     return to_frame(message);
 }
 
@@ -308,6 +309,17 @@
     {
         fill(builder.initRelease(), *update.release_);
     }
+    if (update.standbys_)
+    {
+        const auto& standbys = *update.standbys_;
+        builder.setNamesStandbys(true);
+        auto list =
+            builder.initStandbys(static_cast<unsigned>(standbys.size()));
+        for (unsigned i = 0; i < list.size(); ++i)
+        {
+            list.set(i, to_text(standbys[i]));
+        }
+    }
     return to_frame(message);
 }
 
@@ -335,6 +347,7 @@
             position.sequence_ = reader.getSequence();
             position.release_version_ = reader.getReleaseVersion();
             position.status_query_only_ = reader.getGreeting();
+            position.peer_address_ = to_string(reader.getPeerAddress());
             return position;
         });
 }
@@ -364,6 +377,14 @@
                 update.release_ = std::make_shared<const release>(
                     read_release(reader.getRelease(), defaults));
             }
+            if (reader.getNamesStandbys())
+            {
+                auto& standbys = update.standbys_.emplace();
+                for (const auto address : reader.getStandbys())
+                {
+                    standbys.push_back(to_string(address));
+                }
+            }
             return update;
         });
 }
