Let a standby that the store turns away use another watcher; split the log of targets off

Change: it keeps its watcher while the store answers it. Lines about targets move to target_log.cpp unchanged. Measured: a_standby_that_the_store_turns_away_uses_another_watcher passes; av_feed passes.

--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -3,6 +3,7 @@
 #include <av_core/log_event.hpp>
 #include <av_core/monotonic_clock.hpp>
 #include <av_feed/store_session.hpp>
+#include <av_feed/target_log.hpp>
 #include <av_net/duration.hpp>
 #include <av_registry/target_registry.hpp>
 #include <av_registry/watcher_choice.hpp>
@@ -10,7 +11,6 @@
 #include <av_replication/registry_subscriber.hpp>
 #include <av_replication/replication_timing.hpp>
 
-#include <absl/strings/str_join.h>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
@@ -201,71 +201,12 @@
     void publish_targets()
     {
         auto targets = registered_targets(registry_);
-        log_differences(targets);
+        log_target_changes(published_, targets, revision_);
         published_ = std::move(targets);
         state_.targets_at_ = monotonic_now();
         handlers_.on_targets_(published_);
     }
 
-    void
-    log_differences(const std::map<std::string, target_spec>& targets) const
-    {
-        if (published_.empty())
-        {
-            log_listing(targets);
-            return;
-        }
-        for (const auto& entry : targets)
-        {
-            const auto known = published_.find(entry.first);
-            if (known == published_.end())
-            {
-                log_target("target_registered", entry.second);
-            }
-            else if (known->second != entry.second)
-            {
-                log_target("target_changed", entry.second);
-            }
-        }
-        for (const auto& entry : published_)
-        {
-            if (targets.count(entry.first) == 0)
-            {
-                log_target("target_unregistered", entry.second);
-            }
-        }
-    }
-
-    // Writes one line for all targets known at startup; one line for each
-    // would crowd other events out of the log.
-    void log_listing(const std::map<std::string, target_spec>& targets) const
-    {
-        std::map<std::string, int> services;
-        for (const auto& entry : targets)
-        {
-            ++services[entry.second.service_];
-        }
-        log_event(log_level::info, "targets_listed")
-            .field("targets", targets.size())
-            .field("services",
-                   absl::StrJoin(services, ",", absl::PairFormatter(":")))
-            .field("revision", revision_)
-            .write();
-    }
-
-    void log_target(std::string_view event, const target_spec& target) const
-    {
-        log_event(log_level::info, event)
-            .field("target", target.name_)
-            .field("service", target.service_)
-            .field("address", target.address_)
-            .field("failure_domain", target.failure_domain_)
-            .field("draining", target.draining_)
-            .field("incarnation", target.incarnation_)
-            .field("revision", revision_)
-            .write();
-    }
-
     // Schedules the removal of entries when they expire. Entries that return
     // before then are kept.
     void schedule_expiry()
@@ -480,7 +421,9 @@
         record_update_loss("the store does not answer the watcher", now);
         // A standby that left would be replaced by another VM, which would have
         // to read the store anew.
-        if (is_standby_ || should_keep_watcher(watchers_, *watcher_, now))
+        const bool serves_others =
+            is_standby_ && now - answered_at() <= max_store_response_age;
+        if (serves_others || should_keep_watcher(watchers_, *watcher_, now))
         {
             return true;
         }
--- /dev/null
+++ b/modules/av_feed/target_log.cpp
@@ -0,0 +1,75 @@
+#include <av_feed/target_log.hpp>
+
+#include <av_core/log_event.hpp>
+
+#include <absl/strings/str_join.h>
+
+namespace anvilturn
+{
+namespace
+{
+
+void log_listing(const std::map<std::string, target_spec>& targets,
+                 store_revision revision)
+{
+    std::map<std::string, int> services;
+    for (const auto& entry : targets)
+    {
+        ++services[entry.second.service_];
+    }
+    log_event(log_level::info, "targets_listed")
+        .field("targets", targets.size())
+        .field("services",
+               absl::StrJoin(services, ",", absl::PairFormatter(":")))
+        .field("revision", revision)
+        .write();
+}
+
+void log_target(std::string_view event,
+                const target_spec& target,
+                store_revision revision)
+{
+    log_event(log_level::info, event)
+        .field("target", target.name_)
+        .field("service", target.service_)
+        .field("address", target.address_)
+        .field("failure_domain", target.failure_domain_)
+        .field("draining", target.draining_)
+        .field("incarnation", target.incarnation_)
+        .field("revision", revision)
+        .write();
+}
+
+} // namespace
+
+void log_target_changes(const std::map<std::string, target_spec>& before,
+                        const std::map<std::string, target_spec>& after,
+                        store_revision revision)
+{
+    if (before.empty())
+    {
+        log_listing(after, revision);
+        return;
+    }
+    for (const auto& entry : after)
+    {
+        const auto known = before.find(entry.first);
+        if (known == before.end())
+        {
+            log_target("target_registered", entry.second, revision);
+        }
+        else if (known->second != entry.second)
+        {
+            log_target("target_changed", entry.second, revision);
+        }
+    }
+    for (const auto& entry : before)
+    {
+        if (after.count(entry.first) == 0)
+        {
+            log_target("target_unregistered", entry.second, revision);
+        }
+    }
+}
+
+} // namespace anvilturn
--- a/modules/av_feed/tests/registry_control_test.cpp
+++ b/modules/av_feed/tests/registry_control_test.cpp
@@ -384,6 +384,17 @@
     BOOST_TEST(vm.remote_watcher_.server_.subscribers() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_standby_that_the_store_turns_away_uses_another_watcher)
+{
+    subscribed_vm vm(no_expiry, "127.0.30.12:28711");
+    vm.run_until_subscribed_to(vm.local_watcher_);
+    vm.store_.down_ = true;
+    vm.remote_watcher_.publish(4, {"x"}, 11);
+    vm.local_watcher_.store_response_age_ = stale_response_age;
+    vm.run_until_subscribed_to(vm.remote_watcher_);
+    BOOST_TEST(vm.control_->state().version_ == 4U);
+}
+
 // Changes from a watcher that does not reach the store are ignored, so later
 // ones can't be applied without a snapshot.
 BOOST_AUTO_TEST_CASE(a_snapshot_replaces_updates_ignored_during_an_outage)
