--- a/modules/av_proxy/target_connection.cpp
+++ b/modules/av_proxy/target_connection.cpp
@@ -14,8 +14,9 @@
 namespace
 {
 
-// A target may repeat the response to an earlier call. More than this is no
-// repetition but a target that sends without end.
+// A target may repeat responses to earlier calls. More than this is a target
+// that sends without end.
+constexpr int max_skipped_responses = 16;
 constexpr std::size_t max_skipped_bytes = std::size_t{4} * 1024 * 1024;
 
 namespace asio = boost::asio;
@@ -60,6 +61,7 @@
     call_id_.assign(call_id);
     is_head_request_ = is_head_request;
     skipping_response_ = false;
+    skipped_responses_ = 0;
     skipped_bytes_ = 0;
     reader_.reset(is_head_request);
     output_.clear();
@@ -370,6 +372,11 @@
     if (complete && skipping_response_)
     {
         complete = false;
+        if (++skipped_responses_ > max_skipped_responses)
+        {
+            fail_attempt(error_kind::target_answer_malformed);
+            return 0;
+        }
         skip_response();
     }
     return result.consumed_;
--- a/modules/av_proxy/target_connection.hpp
+++ b/modules/av_proxy/target_connection.hpp
@@ -112,7 +112,8 @@
     bool is_head_request_ = false;
     // Whether a response to another call is being skipped.
     bool skipping_response_ = false;
-    // Bytes of responses to other calls since the attempt began.
+    // Responses to other calls since the attempt began, and their bytes.
+    int skipped_responses_ = 0;
     std::size_t skipped_bytes_ = 0;
     milliseconds became_idle_at_;
     bool connected_ = false;
