Schedule the next run of repeated work before the work

Cause: found by reading. Since the event loops go on after an unexpected error, a handler that scheduled its next run at its end would have stopped for good: the worker's tick, accepting, the heartbeat to subscribers, the watch of the store. A VM that looks ready and learns of no change is worse than one that restarts. Change: these schedule first.

--- a/modules/av_daemon/daemon.cpp
+++ b/modules/av_daemon/daemon.cpp
@@ -616,8 +616,8 @@
                 {
                     return;
                 }
-                work();
                 schedule_repeating(timer, interval, work);
+                work();
             });
     }
 
--- a/modules/av_feed/collection_feed.hpp
+++ b/modules/av_feed/collection_feed.hpp
@@ -156,8 +156,8 @@
         }
         listed_ = true;
         log_decode_errors(objects_);
-        observer_.on_listing_(std::exchange(objects_, {}));
         watch();
+        observer_.on_listing_(std::exchange(objects_, {}));
     }
 
     void apply_check_result(store_revision since, bool has_changes)
@@ -220,8 +220,8 @@
             return;
         }
         log_decode_errors(*changes);
-        observer_.on_changes_(std::move(changes->changes_));
         schedule_watch();
+        observer_.on_changes_(std::move(changes->changes_));
     }
 
     void schedule_watch()
--- a/modules/av_feed/tests/store_session_test.cpp
+++ b/modules/av_feed/tests/store_session_test.cpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -50,6 +51,10 @@
         {
             BOOST_TEST(std::exchange(answered_, false));
             listing_sizes_.push_back(objects.size());
+            if (std::exchange(listing_fails_, false))
+            {
+                throw std::runtime_error("scripted");
+            }
         };
         observer.on_target_changes_ =
             [this](const std::vector<object_change<target_spec>>& changes)
@@ -98,6 +103,8 @@
     // Whether an answer was reported since the last contents: each of the
     // contents must follow the report of its own answer.
     bool answered_ = false;
+    // Whether the observer fails at the next listing.
+    bool listing_fails_ = false;
 };
 
 } // namespace
@@ -214,6 +221,22 @@
     BOOST_TEST(fixture.changes_ == 1U);
 }
 
+// The event loop goes on after an unexpected error, and so must the session: a
+// VM without further changes would keep calling targets that left.
+BOOST_AUTO_TEST_CASE(a_session_goes_on_after_an_error_of_its_observer)
+{
+    session_fixture fixture;
+    fixture.listing_fails_ = true;
+    fixture.session_->start();
+    BOOST_CHECK_THROW(fixture.run_until_synced(), std::runtime_error);
+    fixture.run_until_synced();
+    object_changes<target_spec> changes;
+    changes.revision_ = 30;
+    changes.changes_.resize(2);
+    std::exchange(fixture.store_.targets_.pending_watch_, nullptr)(changes);
+    BOOST_TEST(fixture.changes_ == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(discarded_history_causes_a_new_listing)
 {
     session_fixture fixture;
--- a/modules/av_proxy/worker.cpp
+++ b/modules/av_proxy/worker.cpp
@@ -296,20 +296,20 @@
             {
                 return;
             }
+            if (error)
+            {
+                accept_later(acceptor, for_vms);
+                return;
+            }
+            accept(acceptor, for_vms);
             const bool full =
                 connections_.size() >= core_.settings_.connections_per_thread_;
-            if (!error && !full)
+            if (!full)
             {
                 std::make_shared<caller_connection>(
                     *this, std::move(socket), for_vms)
                     ->start();
             }
-            if (error)
-            {
-                accept_later(acceptor, for_vms);
-                return;
-            }
-            accept(acceptor, for_vms);
         });
 }
 
@@ -354,6 +354,15 @@
 
 void worker::tick()
 {
+    tick_timer_.expires_after(tick_interval);
+    tick_timer_.async_wait(
+        [this](const error_code& error)
+        {
+            if (!error)
+            {
+                tick();
+            }
+        });
     refill_load_query_tokens();
     load_query_sender_.drop_overdue(now());
     drop_removed_target_pools();
@@ -363,20 +372,11 @@
     {
         refuse_waiting();
         close_idle_caller_connections();
-        if (finished_)
-        {
-            return;
-        }
     }
-    tick_timer_.expires_after(tick_interval);
-    tick_timer_.async_wait(
-        [this](const error_code& error)
-        {
-            if (!error)
-            {
-                tick();
-            }
-        });
+    if (finished_)
+    {
+        tick_timer_.cancel();
+    }
 }
 
 // Closes connections to targets that were idle for too long. The least recently
--- a/modules/av_replication/registry_publisher.cpp
+++ b/modules/av_replication/registry_publisher.cpp
@@ -317,6 +317,7 @@
                 {
                     return;
                 }
+                self->accept();
                 if (!error && self->sessions_.size() < max_subscribers)
                 {
                     const auto added =
@@ -324,7 +325,6 @@
                     self->sessions_.insert(added);
                     added->start();
                 }
-                self->accept();
             });
     }
 
@@ -433,8 +433,8 @@
                 const auto self = weak.lock();
                 if (!error && self)
                 {
-                    self->notify(self->position());
                     self->schedule_heartbeat();
+                    self->notify(self->position());
                 }
             });
     }
