--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -41,9 +41,7 @@
                          bool complete,
                          milliseconds arrived_at)
 {
-    reset();
-    started_at_ = arrived_at;
-    deadline_ = started_at_ + worker_.core().settings_.request_timeout_;
+    reset(arrived_at);
     request_complete_ = complete;
     head_ = &head;
     active_ = true;
@@ -141,7 +139,7 @@
 {
     if (!active_)
     {
-        reset();
+        reset(worker_.now());
         active_ = true;
         worker_.counters().calls_.fetch_add(1, relaxed);
         refuse(kind);
@@ -440,7 +438,7 @@
     end_attempt(kind, false);
 }
 
-void proxied_call::reset()
+void proxied_call::reset(milliseconds arrived_at)
 {
     lifecycle_.start(false);
     head_ = nullptr;
@@ -453,7 +451,7 @@
     rule_ = nullptr;
     worker_state_ = nullptr;
     ticket_.reset();
-    started_at_ = worker_.now();
+    started_at_ = arrived_at;
     deadline_ = started_at_ + worker_.core().settings_.request_timeout_;
     body_.clear();
     body_sent_ = 0;
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -112,7 +112,7 @@
     void on_response_complete(bool reusable) override;
     void on_attempt_failed(error_kind kind) override;
 
-    void reset();
+    void reset(milliseconds arrived_at);
     void assign_call_id();
     void prepare_call();
     bool await_configuration();
