Split the queue of exchanges off the caller's connection; let tests share their set-up

After an unexpected error in a handler processing_ would have stayed set. Change: exchange_queue holds the exchanges; a read ahead takes what is left of 16 KiB; processing_ is reset on any way out. The pipelining tests share a fixture, the two tests of a platform's header names one set of settings, the tests of cut-off watchers two steps. Each checks what it checked before.

--- a/modules/av_feed/tests/registry_control_test.cpp
+++ b/modules/av_feed/tests/registry_control_test.cpp
@@ -176,6 +176,22 @@
             });
     }
 
+    // From now on no watcher reaches the store.
+    void cut_watchers_off()
+    {
+        local_watcher_.store_response_age_ = stale_response_age;
+        remote_watcher_.store_response_age_ = stale_response_age;
+    }
+
+    void run_until_the_store_is_watched()
+    {
+        run_until(
+            [this]
+            {
+                return store_.targets_.pending_watch_ != nullptr;
+            });
+    }
+
     void run_until_checked(int times)
     {
         run_until(
@@ -214,8 +230,7 @@
     subscribed_vm vm;
     vm.run_until_subscribed_to(vm.local_watcher_);
     vm.store_.down_ = true;
-    vm.local_watcher_.store_response_age_ = stale_response_age;
-    vm.remote_watcher_.store_response_age_ = stale_response_age;
+    vm.cut_watchers_off();
     vm.run_until_checked(2);
     BOOST_TEST(vm.control_->state().watcher_.empty());
     vm.run_until(
@@ -252,8 +267,7 @@
 {
     subscribed_vm vm;
     vm.run_until_subscribed_to(vm.local_watcher_);
-    vm.local_watcher_.store_response_age_ = stale_response_age;
-    vm.remote_watcher_.store_response_age_ = stale_response_age;
+    vm.cut_watchers_off();
     vm.store_.put_release(5);
     vm.store_.put("z");
     vm.run_until(
@@ -284,13 +298,8 @@
     subscribed_vm vm;
     vm.run_until_subscribed_to(vm.local_watcher_);
     vm.store_.put("x");
-    vm.local_watcher_.store_response_age_ = stale_response_age;
-    vm.remote_watcher_.store_response_age_ = stale_response_age;
-    vm.run_until(
-        [&]
-        {
-            return vm.store_.targets_.pending_watch_ != nullptr;
-        });
+    vm.cut_watchers_off();
+    vm.run_until_the_store_is_watched();
     BOOST_TEST(vm.targets_.count("x") == 1U);
     BOOST_TEST(vm.targets_.count("y") == 0U);
 }
@@ -302,13 +311,8 @@
     subscribed_vm vm(milliseconds(1.0));
     vm.run_until_subscribed_to(vm.local_watcher_);
     vm.store_.put("x");
-    vm.local_watcher_.store_response_age_ = stale_response_age;
-    vm.remote_watcher_.store_response_age_ = stale_response_age;
-    vm.run_until(
-        [&]
-        {
-            return vm.store_.targets_.pending_watch_ != nullptr;
-        });
+    vm.cut_watchers_off();
+    vm.run_until_the_store_is_watched();
     BOOST_TEST(vm.targets_.count("x") == 1U);
     BOOST_TEST(vm.targets_.count("y") == 1U);
     vm.run_until(
@@ -336,8 +340,7 @@
                    std::vector<std::string>{standby.server_.address()};
         });
     vm.store_.down_ = true;
-    vm.local_watcher_.store_response_age_ = stale_response_age;
-    vm.remote_watcher_.store_response_age_ = stale_response_age;
+    vm.cut_watchers_off();
     vm.run_until_subscribed_to(standby);
     BOOST_TEST(vm.targets_.size() == 1U);
     BOOST_TEST(vm.store_.targets_.lists_ == 0);
@@ -360,8 +363,7 @@
     vm.run_until_subscribed_to(vm.local_watcher_);
     vm.store_.put_release(5);
     vm.store_.put("z");
-    vm.local_watcher_.store_response_age_ = stale_response_age;
-    vm.remote_watcher_.store_response_age_ = stale_response_age;
+    vm.cut_watchers_off();
     plain_subscriber other(vm.context_, peer_address);
     other.subscribe("");
     vm.run_until(
@@ -402,8 +404,7 @@
     subscribed_vm vm;
     vm.run_until_subscribed_to(vm.local_watcher_);
     vm.store_.down_ = true;
-    vm.local_watcher_.store_response_age_ = stale_response_age;
-    vm.remote_watcher_.store_response_age_ = stale_response_age;
+    vm.cut_watchers_off();
     vm.run_until_checked(1);
     vm.local_watcher_.publish(3, {"y"}, 11);
     vm.run_until_checked(2);
--- a/modules/av_proxy/caller_connection.cpp
+++ b/modules/av_proxy/caller_connection.cpp
@@ -3,6 +3,8 @@
 #include <av_net/duration.hpp>
 #include <av_proxy/worker.hpp>
 
+#include <absl/cleanup/cleanup.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -16,10 +18,7 @@
 using tcp = asio::ip::tcp;
 
 constexpr milliseconds linger_timeout{1000.0};
-constexpr milliseconds never{1e15};
 constexpr std::size_t linger_limit_bytes = 4 * 1024 * 1024;
-// Requests of one connection whose calls may run at once.
-constexpr std::size_t max_exchanges = 4;
 // Input that is read while it can't be parsed yet, so that requests don't stay
 // in the socket, where callers take them for unread, and a close is noticed.
 constexpr std::size_t max_read_ahead_bytes = std::size_t{16} * 1024;
@@ -32,10 +31,9 @@
     : worker_(owner)
     , socket_(std::move(socket))
     , timer_(owner.context())
-    , from_vm_(from_vm)
+    , exchanges_(owner, *this, from_vm)
     , last_activity_at_(owner.now())
 {
-    add_exchange();
     worker_.add(*this);
 }
 
@@ -63,8 +61,7 @@
 
 bool caller_connection::is_idle() const
 {
-    return exchanges_.size() == 1 && exchanges_.front()->is_unused() &&
-           output_.unsent_bytes() == 0;
+    return exchanges_.is_unused() && output_.unsent_bytes() == 0;
 }
 
 milliseconds caller_connection::idle_since() const
@@ -79,34 +76,15 @@
         return;
     }
     const auto self = shared_from_this();
-    for (const auto& exchange : exchanges_)
-    {
-        exchange->call().on_caller_disconnected();
-    }
+    exchanges_.disconnect();
     error_code ignored;
     timer_.cancel();
     socket_.close(ignored);
 }
 
-bool caller_connection::is_first(const caller_exchange& exchange) const
-{
-    return exchanges_.front().get() == &exchange;
-}
-
-bool caller_connection::is_last(const caller_exchange& exchange) const
+const exchange_queue& caller_connection::exchanges() const
 {
-    return exchanges_.back().get() == &exchange;
-}
-
-bool caller_connection::may_begin(const caller_exchange& exchange,
-                                  const request_head& head) const
-{
-    if (is_first(exchange))
-    {
-        return true;
-    }
-    const auto* rule = worker_.table()->rules_->match(head);
-    return rule != nullptr && rule->idempotent_;
+    return exchanges_;
 }
 
 std::string& caller_connection::output()
@@ -147,7 +125,7 @@
 
 void caller_connection::on_response_finished(const caller_exchange& exchange)
 {
-    if (closed_ || lingering_ || !is_first(exchange))
+    if (closed_ || lingering_ || !exchanges_.is_first(exchange))
     {
         return;
     }
@@ -210,7 +188,7 @@
     {
         return;
     }
-    auto& first = *exchanges_.front();
+    auto& first = exchanges_.first();
     if (first.has_response())
     {
         continue_after_response();
@@ -226,14 +204,16 @@
         discard_input();
         return;
     }
-    if (!exchanges_.back()->wants_input() && !may_read_ahead())
+    const auto limit = readable_bytes();
+    if (limit == 0)
     {
         watch_for_close();
         return;
     }
     auto& scratch = worker_.scratch();
     error_code error;
-    const auto count = socket_.read_some(asio::buffer(scratch), error);
+    const auto count =
+        socket_.read_some(asio::buffer(scratch.data(), limit), error);
     if (error == asio::error::would_block)
     {
         wait_readable();
@@ -288,78 +268,59 @@
 std::size_t caller_connection::process(std::string_view input)
 {
     processing_ = true;
+    const absl::Cleanup end_processing = [this]
+    {
+        processing_ = false;
+    };
     std::size_t used = 0;
     while (!closed_)
     {
-        if (exchanges_.front()->has_response() && !finish_first())
+        if (exchanges_.first().has_response() && !continue_with_next())
         {
             break;
         }
-        auto* exchange = used < input.size() ? exchange_to_read() : nullptr;
+        auto* exchange =
+            used < input.size()
+                ? exchanges_.exchange_to_read(output_.unsent_bytes())
+                : nullptr;
         const bool may_continue =
             exchange != nullptr &&
             exchange->read(input, used, input_arrived_at_);
-        if (!may_continue && !exchanges_.front()->has_response())
+        if (!may_continue && !exchanges_.first().has_response())
         {
             break;
         }
     }
-    processing_ = false;
     return used;
 }
 
-// Returns the exchange that the next input belongs to; null if the input can't
-// be used yet.
-caller_exchange* caller_connection::exchange_to_read()
-{
-    if (exchanges_.back()->is_complete())
-    {
-        if (!may_add_exchange())
-        {
-            return nullptr;
-        }
-        add_exchange();
-    }
-    auto* last = exchanges_.back().get();
-    return last->wants_input() ? last : nullptr;
-}
-
-bool caller_connection::may_add_exchange() const
+// Ends the first exchange, whose response is complete, and continues with the
+// next one. Returns false if the connection ends, or if the response was not
+// sent completely yet.
+bool caller_connection::continue_with_next()
 {
-    const auto& core = worker_.core();
-    const bool may_follow = exchanges_.size() < max_exchanges &&
-                            exchanges_.back()->may_be_followed() &&
-                            !core.draining_.load();
-    if (!may_follow)
+    if (exchanges_.first().ends_connection() || output_.unsent_bytes() > 0)
     {
         return false;
     }
-    std::size_t buffered = output_.unsent_bytes();
-    for (const auto& exchange : exchanges_)
-    {
-        buffered += exchange->buffered_bytes();
-    }
-    return buffered <= core.settings_.relay_buffer_bytes_;
+    last_activity_at_ = worker_.now();
+    exchanges_.end_first();
+    return true;
 }
 
-void caller_connection::add_exchange()
+// Returns how much input may be read now, in bytes. Some is read although it
+// can't be parsed yet.
+std::size_t caller_connection::readable_bytes() const
 {
-    if (spare_exchanges_.empty())
+    const auto& last = exchanges_.last();
+    if (last.wants_input())
     {
-        exchanges_.push_back(
-            std::make_unique<caller_exchange>(worker_, *this, from_vm_));
-        return;
+        return scratch_bytes;
     }
-    exchanges_.push_back(std::move(spare_exchanges_.back()));
-    spare_exchanges_.pop_back();
-    exchanges_.back()->reset();
-}
-
-// Returns whether input is read although it can't be parsed yet.
-bool caller_connection::may_read_ahead() const
-{
-    return !exchanges_.back()->is_reading() &&
-           unread_input_.size() < max_read_ahead_bytes;
+    const auto unread = unread_input_.size();
+    return last.is_reading() || unread >= max_read_ahead_bytes
+               ? 0
+               : max_read_ahead_bytes - unread;
 }
 
 // Called after the input that arrived was parsed as far as possible. Waits for
@@ -370,38 +331,18 @@
     {
         return;
     }
-    if (exchanges_.front()->has_response())
+    if (exchanges_.first().has_response())
     {
         continue_after_response();
         return;
     }
-    if (exchanges_.back()->wants_input() || may_read_ahead())
+    if (readable_bytes() > 0)
     {
         wait_readable();
     }
     update_timer();
 }
 
-// Ends the first exchange and continues with the next one. Returns false if the
-// connection ends, or if the response was not sent completely yet.
-bool caller_connection::finish_first()
-{
-    if (exchanges_.front()->ends_connection() || output_.unsent_bytes() > 0)
-    {
-        return false;
-    }
-    last_activity_at_ = worker_.now();
-    if (exchanges_.size() == 1)
-    {
-        exchanges_.front()->reset();
-        return true;
-    }
-    spare_exchanges_.push_back(std::move(exchanges_.front()));
-    exchanges_.pop_front();
-    exchanges_.front()->become_first();
-    return true;
-}
-
 void caller_connection::continue_after_response()
 {
     if (closed_ || lingering_ || output_.unsent_bytes() > 0)
@@ -409,7 +350,7 @@
         update_timer();
         return;
     }
-    if (exchanges_.front()->ends_connection())
+    if (exchanges_.first().ends_connection())
     {
         linger();
         return;
@@ -423,11 +364,7 @@
 {
     lingering_ = true;
     last_activity_at_ = worker_.now();
-    // The caller takes later requests for unread.
-    for (const auto& exchange : exchanges_)
-    {
-        exchange->call().on_caller_disconnected();
-    }
+    exchanges_.disconnect();
     error_code error;
     socket_.shutdown(tcp::socket::shutdown_send, error);
     if (error)
@@ -464,16 +401,14 @@
     {
         return last_activity_at_ + settings.idle_timeout_;
     }
-    const auto& last = *exchanges_.back();
-    const bool awaits_caller =
-        last.wants_input() || !exchanges_.front()->call().is_active();
-    auto result = awaits_caller ? request_due() : never;
-    for (const auto& exchange : exchanges_)
+    const auto call_due = exchanges_.due();
+    if (!call_due)
     {
-        const auto& call = exchange->call();
-        result = call.is_active() ? std::min(result, call.due()) : result;
+        return request_due();
     }
-    return result;
+    const bool awaits_caller = exchanges_.last().wants_input() ||
+                               !exchanges_.first().call().is_active();
+    return awaits_caller ? std::min(request_due(), *call_due) : *call_due;
 }
 
 // Returns until when the caller must continue with its request, or read the
@@ -525,17 +460,11 @@
         close();
         return;
     }
-    const auto now = worker_.now();
-    for (const auto& exchange : exchanges_)
+    if (exchanges_.end_overdue_call(worker_.now()))
     {
-        auto& call = exchange->call();
-        if (call.is_active() && now >= call.due())
-        {
-            call.on_timeout(); // May change exchanges_.
-            return;
-        }
+        return;
     }
-    auto& last = *exchanges_.back();
+    auto& last = exchanges_.last();
     if (!last.is_reading())
     {
         abort_connection(); // The caller does not read the response.
--- a/modules/av_proxy/caller_connection.hpp
+++ b/modules/av_proxy/caller_connection.hpp
@@ -4,17 +4,15 @@
 #define AV_PROXY_CALLER_CONNECTION_HPP
 
 #include <av_core/milliseconds.hpp>
-#include <av_proxy/caller_exchange.hpp>
+#include <av_proxy/exchange_queue.hpp>
 #include <av_proxy/output_buffer.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <deque>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace anvilturn
 {
@@ -45,11 +43,7 @@
     void close();
 
     // Used by the exchanges.
-    bool is_first(const caller_exchange& exchange) const;
-    bool is_last(const caller_exchange& exchange) const;
-    // Returns whether the call of the exchange may begin now.
-    bool may_begin(const caller_exchange& exchange,
-                   const request_head& head) const;
+    const exchange_queue& exchanges() const;
     // Bytes to be sent to the caller. flush sends as much of them as the socket
     // accepts without blocking.
     std::string& output();
@@ -71,11 +65,8 @@
     void discard_input();
     void process_unread_input();
     std::size_t process(std::string_view input);
-    caller_exchange* exchange_to_read();
-    bool may_add_exchange() const;
-    void add_exchange();
-    bool may_read_ahead() const;
-    bool finish_first();
+    bool continue_with_next();
+    std::size_t readable_bytes() const;
     void after_input_processed();
     void continue_after_response();
     void linger();
@@ -87,13 +78,9 @@
     worker& worker_;
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
-    // In the order of the requests; never empty. The last one reads the input.
-    std::deque<std::unique_ptr<caller_exchange>> exchanges_;
-    // Exchanges that ended. Their calls may still be referred to.
-    std::vector<std::unique_ptr<caller_exchange>> spare_exchanges_;
+    exchange_queue exchanges_;
     output_buffer output_;
     std::string unread_input_;
-    bool from_vm_;
 
     bool closed_ = false;
     bool read_wait_pending_ = false;
--- a/modules/av_proxy/caller_exchange.cpp
+++ b/modules/av_proxy/caller_exchange.cpp
@@ -53,7 +53,7 @@
     if (!std::exchange(header_done_, true))
     {
         arrived_at_ = now;
-        held_ = !connection_.may_begin(*this, reader_.head());
+        held_ = !connection_.exchanges().may_begin(*this, reader_.head());
         if (!held_)
         {
             begin_call();
@@ -158,12 +158,13 @@
 
 std::string& caller_exchange::output()
 {
-    return connection_.is_first(*this) ? connection_.output() : waiting_output_;
+    return connection_.exchanges().is_first(*this) ? connection_.output()
+                                                   : waiting_output_;
 }
 
 void caller_exchange::flush()
 {
-    if (connection_.is_first(*this))
+    if (connection_.exchanges().is_first(*this))
     {
         connection_.flush();
     }
@@ -171,13 +172,13 @@
 
 std::size_t caller_exchange::unsent_bytes() const
 {
-    return connection_.is_first(*this) ? connection_.unsent_bytes()
-                                       : waiting_output_.size();
+    return connection_.exchanges().is_first(*this) ? connection_.unsent_bytes()
+                                                   : waiting_output_.size();
 }
 
 bool caller_exchange::is_last_request() const
 {
-    return connection_.is_last(*this);
+    return connection_.exchanges().is_last(*this);
 }
 
 void caller_exchange::resume_reading()
@@ -202,7 +203,7 @@
 
 void caller_exchange::abort_connection()
 {
-    if (connection_.is_first(*this))
+    if (connection_.exchanges().is_first(*this))
     {
         connection_.abort_connection();
         return;
--- a/modules/av_proxy/tests/endless_bytes_test.cpp
+++ b/modules/av_proxy/tests/endless_bytes_test.cpp
@@ -13,19 +13,6 @@
 // More than all buffers on the path take together.
 constexpr std::size_t max_accepted_bytes = std::size_t{16} * 1024 * 1024;
 
-request_path_settings custom_dialect_settings()
-{
-    auto settings = single_thread_settings();
-    settings.buffered_response_bytes_ = 64 * 1024;
-    auto& dialect = settings.dialect_;
-    dialect.call_id_ = "X-Call";
-    dialect.signature_ = "X-Signed";
-    dialect.internal_field_prefix_.clear();
-    dialect.responses_repeat_call_id_ = true;
-    dialect.allows_unframed_responses_ = true;
-    return settings;
-}
-
 release with_timeout(release value, double timeout_ms)
 {
     value.rules_["kits"].timeout_ = milliseconds(timeout_ms);
--- a/modules/av_proxy/tests/pipelining_test.cpp
+++ b/modules/av_proxy/tests/pipelining_test.cpp
@@ -3,6 +3,7 @@
 #include "relay_fixture.hpp"
 
 #include <map>
+#include <vector>
 
 namespace anvilturn::test
 {
@@ -74,36 +75,67 @@
     return sent;
 }
 
-std::uint64_t calls_in_flight(relay& vm)
+// A VM with one target, and a caller connected to it.
+struct pipelining_fixture
 {
-    return static_cast<std::uint64_t>(vm.path().statistics().calls_in_flight_);
-}
+    void wait_for_calls_in_flight(std::uint64_t count)
+    {
+        wait_until(
+            [this, count]
+            {
+                return static_cast<std::uint64_t>(
+                           vm_.path().statistics().calls_in_flight_) == count;
+            });
+    }
+
+    // Sends the look-ups behind each other and returns them as the target has
+    // them.
+    std::map<std::string, std::unique_ptr<test_connection>>
+    run(const std::vector<std::string>& names)
+    {
+        std::string requests;
+        for (const auto& name : names)
+        {
+            requests += look_up(name);
+        }
+        caller_.send(requests);
+        return accept_requests(target_, static_cast<int>(names.size()));
+    }
+
+    // Lets another caller make a call, after which the VM has read all that
+    // arrived before.
+    void serve_another_caller()
+    {
+        auto other = vm_.call();
+        other.send(look_up("other"));
+        auto running = accept_requests(target_, 1);
+        BOOST_TEST_REQUIRE(running.count("other") == 1U);
+        running.at("other")->send(ok("other"));
+        expect_body(other, "other");
+    }
+
+    scripted_target target_;
+    relay vm_{make_release({target_.address()})};
+    test_connection caller_ = vm_.call();
+};
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(pipelining)
+BOOST_FIXTURE_TEST_SUITE(pipelining, pipelining_fixture)
 
 // A slow first request must not delay the start of those behind it.
 BOOST_AUTO_TEST_CASE(idempotent_requests_run_at_once_and_are_answered_in_order)
 {
-    scripted_target target;
-    relay vm(make_release({target.address()}));
-    auto caller = vm.call();
-    caller.send(look_up("a") + look_up("b") + look_up("c"));
-    auto running = accept_requests(target, 3);
+    auto running = run({"a", "b", "c"});
     running.at("c")->send(ok("third"));
     running.at("b")->send(ok("second"));
-    wait_until(
-        [&vm]
-        {
-            return calls_in_flight(vm) == 1;
-        });
+    wait_for_calls_in_flight(1);
     running.at("a")->send(ok("first"));
-    expect_body(caller, "first");
-    expect_body(caller, "second");
-    expect_body(caller, "third");
+    expect_body(caller_, "first");
+    expect_body(caller_, "second");
+    expect_body(caller_, "third");
     // The connection goes on as usual.
-    caller.send(look_up("d"));
+    caller_.send(look_up("d"));
     BOOST_TEST(requested_name(running.at("a")->read_header()) == "d");
 }
 
@@ -111,111 +143,78 @@
 // request again, so it must not have run.
 BOOST_AUTO_TEST_CASE(a_non_idempotent_request_waits_for_earlier_responses)
 {
-    scripted_target target;
-    relay vm(make_release({target.address()}));
-    auto caller = vm.call();
-    caller.send(look_up("a") + post("/kits/order", "one") + look_up("b"));
-    auto running = accept_requests(target, 1);
-    // The VM has read all of it once it serves another caller.
-    auto other = vm.call();
-    other.send(look_up("other"));
-    auto others = accept_requests(target, 1);
-    BOOST_TEST_REQUIRE(others.count("other") == 1U);
-    BOOST_TEST(!target.has_pending_connection());
+    caller_.send(look_up("a") + post("/kits/order", "one") + look_up("b"));
+    auto running = accept_requests(target_, 1);
+    serve_another_caller();
+    BOOST_TEST(!target_.has_pending_connection());
     running.at("a")->send(ok("first"));
-    expect_body(caller, "first");
+    expect_body(caller_, "first");
     auto& order = *running.at("a");
     BOOST_TEST(requested_name(order.read_header()) == "order");
     BOOST_TEST(order.read_bytes(3) == "one");
     // An idempotent request behind it does not wait.
-    auto behind = accept_requests(target, 1);
+    auto behind = accept_requests(target_, 1);
     behind.at("b")->send(ok("third"));
     order.send(ok("second"));
-    expect_body(caller, "second");
-    expect_body(caller, "third");
+    expect_body(caller_, "second");
+    expect_body(caller_, "third");
 }
 
 BOOST_AUTO_TEST_CASE(nothing_runs_behind_a_request_that_ends_the_connection)
 {
-    scripted_target target;
-    relay vm(make_release({target.address()}));
-    auto caller = vm.call();
-    caller.send(look_up("a", "Connection: close\r\n") + look_up("b"));
-    auto running = accept_requests(target, 1);
+    caller_.send(look_up("a", "Connection: close\r\n") + look_up("b"));
+    auto running = accept_requests(target_, 1);
     running.at("a")->send(ok("first"));
-    const auto header = caller.read_header();
+    const auto header = caller_.read_header();
     BOOST_TEST(contains(header, "Connection: close\r\n"));
-    BOOST_TEST(caller.read_to_end() == "first");
-    BOOST_TEST(!target.has_pending_connection());
-    BOOST_TEST(vm.path().statistics().answered_ == 1U);
+    BOOST_TEST(caller_.read_to_end() == "first");
+    BOOST_TEST(!target_.has_pending_connection());
+    BOOST_TEST(vm_.path().statistics().answered_ == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(a_caller_that_leaves_cancels_all_its_requests)
 {
-    scripted_target target;
-    relay vm(make_release({target.address()}));
-    auto caller = vm.call();
-    caller.send(look_up("a") + look_up("b") + look_up("c"));
-    auto running = accept_requests(target, 3);
-    caller.close();
+    auto running = run({"a", "b", "c"});
+    caller_.close();
     for (auto& one : running)
     {
         BOOST_TEST(one.second->read_to_end() == "");
     }
-    wait_until(
-        [&vm]
-        {
-            return calls_in_flight(vm) == 0;
-        });
-    BOOST_TEST(vm.path().statistics().unknown_ == 3U);
+    wait_for_calls_in_flight(0);
+    BOOST_TEST(vm_.path().statistics().unknown_ == 3U);
 }
 
 // The response of one request must not be taken for that of another when the
 // first one ends without a response of its target.
 BOOST_AUTO_TEST_CASE(a_deadline_ends_the_first_request_only)
 {
-    scripted_target target;
-    relay vm(make_release({target.address()}));
-    auto caller = vm.call();
-    caller.send(look_up("a", "Anvilturn-Deadline-Ms: 200\r\n") + look_up("b"));
-    auto running = accept_requests(target, 2);
+    caller_.send(look_up("a", "Anvilturn-Deadline-Ms: 200\r\n") + look_up("b"));
+    auto running = accept_requests(target_, 2);
     running.at("b")->send(ok("second"));
-    BOOST_TEST(read_local_response(caller) == "unknown deadline_exceeded");
-    expect_body(caller, "second");
+    BOOST_TEST(read_local_response(caller_) == "unknown deadline_exceeded");
+    expect_body(caller_, "second");
 }
 
 BOOST_AUTO_TEST_CASE(a_target_that_ends_the_first_connection_spares_the_second)
 {
-    scripted_target target;
-    relay vm(make_release({target.address()}));
-    auto caller = vm.call();
-    caller.send(look_up("a") + look_up("b"));
-    auto running = accept_requests(target, 2);
+    auto running = run({"a", "b"});
     running.at("a")->close();
-    BOOST_TEST(read_local_response(caller) == "unknown target_answer_lost");
+    BOOST_TEST(read_local_response(caller_) == "unknown target_answer_lost");
     running.at("b")->send(ok("second"));
-    expect_body(caller, "second");
+    expect_body(caller_, "second");
 }
 
 // The earlier responses are complete; only the broken one may look incomplete.
 BOOST_AUTO_TEST_CASE(a_truncated_later_response_does_not_harm_earlier_ones)
 {
-    scripted_target target;
-    relay vm(make_release({target.address()}));
-    auto caller = vm.call();
-    caller.send(look_up("a") + look_up("b"));
-    auto running = accept_requests(target, 2);
+    auto running = run({"a", "b"});
     running.at("b")->send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
     running.at("b")->close();
-    wait_until(
-        [&vm]
-        {
-            return calls_in_flight(vm) == 1;
-        });
+    wait_for_calls_in_flight(1);
     running.at("a")->send(ok("first"));
-    expect_body(caller, "first");
-    BOOST_TEST(caller.read_to_end() == "");
-    BOOST_TEST((caller.end() == boost::asio::error::connection_reset));
+    expect_body(caller_, "first");
+    BOOST_TEST(caller_.read_to_end() == "");
+    BOOST_TEST((caller_.end() == boost::asio::error::connection_reset));
 }
 
 BOOST_AUTO_TEST_CASE(a_malformed_request_ends_the_connection_after_the_others)
@@ -225,20 +224,18 @@
     {
         BOOST_TEST_CONTEXT(bad)
         {
-            scripted_target target;
-            relay vm(make_release({target.address()}));
-            auto caller = vm.call();
-            caller.send(look_up("a") + look_up("b") + bad + look_up("c"));
-            auto running = accept_requests(target, 2);
+            pipelining_fixture one;
+            one.caller_.send(look_up("a") + look_up("b") + bad + look_up("c"));
+            auto running = accept_requests(one.target_, 2);
             running.at("b")->send(ok("second"));
             running.at("a")->send(ok("first"));
-            expect_body(caller, "first");
-            expect_body(caller, "second");
-            const auto header = caller.read_header();
+            expect_body(one.caller_, "first");
+            expect_body(one.caller_, "second");
+            const auto header = one.caller_.read_header();
             BOOST_TEST(contains(header, "HTTP/1.1 400 "));
             BOOST_TEST(outcome_of(header) == "not-run request_malformed");
-            caller.read_to_end();
-            BOOST_TEST(!target.has_pending_connection());
+            one.caller_.read_to_end();
+            BOOST_TEST(!one.target_.has_pending_connection());
         }
     }
 }
@@ -246,43 +243,34 @@
 // A planned stop must not cut off a request that was passed to a target.
 BOOST_AUTO_TEST_CASE(a_stopping_vm_answers_the_requests_that_run)
 {
-    scripted_target target;
-    relay vm(make_release({target.address()}));
-    auto caller = vm.call();
-    caller.send(look_up("a") + look_up("b"));
-    auto running = accept_requests(target, 2);
-    vm.path().begin_drain();
-    caller.send(look_up("late"));
+    auto running = run({"a", "b"});
+    vm_.path().begin_drain();
+    caller_.send(look_up("late"));
     running.at("a")->send(ok("first"));
-    const auto first = caller.read_header();
+    const auto first = caller_.read_header();
     BOOST_TEST(!contains(first, "Connection: close\r\n"));
-    BOOST_TEST(caller.read_bytes(5) == "first");
+    BOOST_TEST(caller_.read_bytes(5) == "first");
     running.at("b")->send(ok("second"));
-    const auto second = caller.read_header();
+    const auto second = caller_.read_header();
     BOOST_TEST(contains(second, "Connection: close\r\n"));
-    BOOST_TEST(caller.read_to_end() == "second");
-    BOOST_TEST(!target.has_pending_connection());
+    BOOST_TEST(caller_.read_to_end() == "second");
+    BOOST_TEST(!target_.has_pending_connection());
 }
 
 BOOST_AUTO_TEST_CASE(the_number_of_requests_that_run_at_once_is_limited)
 {
     constexpr int limit = 4;
-    scripted_target target;
-    relay vm(make_release({target.address()}));
-    auto caller = vm.call();
     std::string requests;
     for (const char* name : {"a", "b", "c", "d", "e", "f"})
     {
         requests += look_up(name);
     }
-    caller.send(requests);
-    auto running = accept_requests(target, limit);
-    auto other = vm.call();
-    other.send(look_up("other"));
-    BOOST_TEST(accept_requests(target, 1).count("other") == 1U);
-    BOOST_TEST(!target.has_pending_connection());
+    caller_.send(requests);
+    auto running = accept_requests(target_, limit);
+    serve_another_caller();
+    BOOST_TEST(!target_.has_pending_connection());
     running.at("a")->send(ok("first"));
-    expect_body(caller, "first");
+    expect_body(caller_, "first");
     BOOST_TEST(requested_name(running.at("a")->read_header()) == "e");
 }
 
@@ -291,14 +279,10 @@
 BOOST_AUTO_TEST_CASE(a_large_response_that_waits_is_read_only_in_part)
 {
     const auto large = ok(std::string(24 * 1024 * 1024, 'k'));
-    scripted_target target;
-    relay vm(make_release({target.address()}));
-    auto caller = vm.call();
-    caller.send(look_up("a") + look_up("b"));
-    auto running = accept_requests(target, 2);
-    auto other = vm.call();
+    auto running = run({"a", "b"});
+    auto other = vm_.call();
     other.send(look_up("other"));
-    auto others = accept_requests(target, 1);
+    auto others = accept_requests(target_, 1);
     auto& other_at_target = *others.at("other");
     // Sends until the VM takes no more, although it serves another call
     // meanwhile.
@@ -314,10 +298,10 @@
         other_at_target.read_header();
     }
     BOOST_TEST(sent < large.size());
-    caller.send(look_up("c"));
+    caller_.send(look_up("c"));
     other_at_target.send(ok("one"));
     expect_body(other, "one");
-    BOOST_TEST(!target.has_pending_connection());
+    BOOST_TEST(!target_.has_pending_connection());
     auto sending = std::async(std::launch::async,
                               [&]
                               {
@@ -325,10 +309,10 @@
                                   running.at("b")->send(large.substr(sent));
                               });
     running.at("a")->send(ok("first"));
-    expect_body(caller, "first");
+    expect_body(caller_, "first");
     const auto body = large.substr(large.find("\r\n\r\n") + 4);
-    BOOST_TEST(outcome_of(caller.read_header()) == "answered");
-    BOOST_TEST((caller.read_bytes(body.size()) == body));
+    BOOST_TEST(outcome_of(caller_.read_header()) == "answered");
+    BOOST_TEST((caller_.read_bytes(body.size()) == body));
     sending.get();
 }
 
--- a/modules/av_proxy/tests/platform_rules_test.cpp
+++ b/modules/av_proxy/tests/platform_rules_test.cpp
@@ -1,5 +1,5 @@
 // Tests of what a platform with its own header names guarantees to targets and
-// callers. The header dialect used here is made up.
+// callers.
 
 #include "relay_fixture.hpp"
 
@@ -9,20 +9,6 @@
 namespace
 {
 
-request_path_settings custom_dialect_settings()
-{
-    auto settings = single_thread_settings();
-    settings.buffered_response_bytes_ = 64 * 1024;
-    auto& dialect = settings.dialect_;
-    dialect.call_id_ = "X-Call";
-    dialect.expected_target_ = "X-Meant-For";
-    dialect.signature_ = "X-Signed";
-    dialect.internal_field_prefix_.clear();
-    dialect.responses_repeat_call_id_ = true;
-    dialect.allows_unframed_responses_ = true;
-    return settings;
-}
-
 release with_retries(release value)
 {
     value.services_["kits"].retry_ratio_ = 1.0;
--- a/modules/av_proxy/tests/relay_fixture.hpp
+++ b/modules/av_proxy/tests/relay_fixture.hpp
@@ -248,6 +248,21 @@
     return settings;
 }
 
+// Returns settings with the header names of a made-up platform.
+inline request_path_settings custom_dialect_settings()
+{
+    auto settings = single_thread_settings();
+    settings.buffered_response_bytes_ = 64 * 1024;
+    auto& dialect = settings.dialect_;
+    dialect.call_id_ = "X-Call";
+    dialect.expected_target_ = "X-Meant-For";
+    dialect.signature_ = "X-Signed";
+    dialect.internal_field_prefix_.clear();
+    dialect.responses_repeat_call_id_ = true;
+    dialect.allows_unframed_responses_ = true;
+    return settings;
+}
+
 // The request path under test.
 class relay
 {
