Name the frames of the publisher, and record standbys in one place

Cause: found by reading: two boolean parameters that a reader had to look up, a search for the own address written three times, a record that was added empty and filled by its caller. Change: first_frame_since and broadcast; record_standbys says whether this VM is a standby and adds whole records.

--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -364,12 +364,8 @@
 
     void apply_standbys(const std::vector<std::string>& standbys)
     {
-        record_standbys(watchers_, standbys, options_.peer_address_, watcher_);
-        const bool is_standby =
-            !options_.peer_address_.empty() &&
-            std::find(standbys.begin(),
-                      standbys.end(),
-                      options_.peer_address_) != standbys.end();
+        const bool is_standby = record_standbys(
+            watchers_, standbys, options_.peer_address_, watcher_);
         if (std::exchange(is_standby_, is_standby) == is_standby)
         {
             return;
--- a/modules/av_registry/watcher_choice.cpp
+++ b/modules/av_registry/watcher_choice.cpp
@@ -1,5 +1,7 @@
 #include <av_registry/watcher_choice.hpp>
 
+#include <absl/algorithm/container.h>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -84,18 +86,16 @@
     return proximity_of(a, local_domain) < proximity_of(b, local_domain);
 }
 
-bool contains(const std::vector<std::string>& list, const std::string& value)
-{
-    return std::find(list.begin(), list.end(), value) != list.end();
-}
-
-// Returns the record of the address, a new one, or one that may be replaced;
-// null if there is none.
-watcher_record* record_for_standby(std::vector<watcher_record>& watchers,
-                                   const std::vector<std::string>& standbys,
-                                   const std::string& address,
-                                   std::optional<std::size_t> in_use)
+// Adds a record of the standby unless there is one, or replaces that of an
+// earlier standby. Without a place for it nothing is done.
+void record_standby(std::vector<watcher_record>& watchers,
+                    const std::vector<std::string>& standbys,
+                    const std::string& address,
+                    std::optional<std::size_t> in_use)
 {
+    watcher_record record;
+    record.address_ = address;
+    record.standby_ = true;
     watcher_record* replaceable = nullptr;
     std::size_t known = 0;
     for (std::size_t index = 0; index < watchers.size(); ++index)
@@ -103,21 +103,23 @@
         auto& watcher = watchers[index];
         if (watcher.address_ == address)
         {
-            return &watcher;
+            return;
         }
         known += watcher.standby_ ? 1U : 0U;
-        const bool is_unused = watcher.standby_ && index != in_use &&
-                               !contains(standbys, watcher.address_);
-        if (is_unused && replaceable == nullptr)
-        {
-            replaceable = &watcher;
-        }
+        const bool is_unused =
+            watcher.standby_ && index != in_use &&
+            !absl::c_linear_search(standbys, watcher.address_);
+        replaceable =
+            is_unused && replaceable == nullptr ? &watcher : replaceable;
     }
     if (known < max_known_standbys)
     {
-        return &watchers.emplace_back();
+        watchers.push_back(std::move(record));
+    }
+    else if (replaceable != nullptr)
+    {
+        *replaceable = std::move(record);
     }
-    return replaceable;
 }
 
 } // namespace
@@ -176,14 +178,15 @@
     std::vector<std::string> result;
     for (const auto& address : current)
     {
-        if (contains(subscribers, address))
+        if (absl::c_linear_search(subscribers, address))
         {
             result.push_back(address);
         }
     }
     for (const auto& address : subscribers)
     {
-        if (result.size() < max_standbys && !contains(result, address))
+        if (result.size() < max_standbys &&
+            !absl::c_linear_search(result, address))
         {
             result.push_back(address);
         }
@@ -191,29 +194,25 @@
     return result;
 }
 
-void record_standbys(std::vector<watcher_record>& watchers,
+bool record_standbys(std::vector<watcher_record>& watchers,
                      const std::vector<std::string>& standbys,
                      const std::string& local_address,
                      std::optional<std::size_t> in_use)
 {
     for (const auto& address : standbys)
     {
-        auto* record =
-            address == local_address
-                ? nullptr
-                : record_for_standby(watchers, standbys, address, in_use);
-        if (record != nullptr && record->address_ != address)
+        if (address != local_address)
         {
-            *record = {};
-            record->address_ = address;
-            record->standby_ = true;
+            record_standby(watchers, standbys, address, in_use);
         }
     }
-    const bool is_standby = contains(standbys, local_address);
+    const bool is_standby = !local_address.empty() &&
+                            absl::c_linear_search(standbys, local_address);
     for (auto& watcher : watchers)
     {
         watcher.excluded_ = watcher.standby_ && is_standby;
     }
+    return is_standby;
 }
 
 std::vector<watcher_record>
--- a/modules/av_registry/watcher_choice.hpp
+++ b/modules/av_registry/watcher_choice.hpp
@@ -46,8 +46,8 @@
 // an earlier standby that is not in use is replaced. If the local address is
 // among them, this VM is a standby, and all other standbys are excluded, since
 // standbys that follow each other would follow no one. The records keep their
-// places.
-void record_standbys(std::vector<watcher_record>& watchers,
+// places. Returns whether this VM is a standby.
+bool record_standbys(std::vector<watcher_record>& watchers,
                      const std::vector<std::string>& standbys,
                      const std::string& local_address,
                      std::optional<std::size_t> in_use);
--- a/modules/av_replication/registry_publisher.cpp
+++ b/modules/av_replication/registry_publisher.cpp
@@ -8,13 +8,13 @@
 #include <av_replication/replication_timing.hpp>
 #include <av_replication/update_codec.hpp>
 
+#include <absl/algorithm/container.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
-#include <algorithm>
 #include <array>
 #include <deque>
 #include <optional>
@@ -186,7 +186,7 @@
                 return;
             }
             is_up_to_date_ = owner_.has_complete_state();
-            send(is_up_to_date_ ? owner_.frame_since(*position_, true)
+            send(is_up_to_date_ ? owner_.first_frame_since(*position_)
                                 : owner_.status_frame());
         }
 
@@ -332,9 +332,7 @@
     {
         value->close();
         const bool was_standby =
-            std::find(standbys_.begin(),
-                      standbys_.end(),
-                      value->peer_address()) != standbys_.end();
+            absl::c_linear_search(standbys_, value->peer_address());
         if (sessions_.erase(value) != 0 && was_standby)
         {
             appoint_standbys();
@@ -365,7 +363,7 @@
         if (standbys != standbys_)
         {
             standbys_ = std::move(standbys);
-            notify(position(), true);
+            broadcast(first_frame_since(position()));
         }
     }
 
@@ -378,14 +376,24 @@
                 {}};
     }
 
-    shared_frame frame_since(const replication_position& since,
-                             bool names_standbys) const
+    shared_frame frame_since(const replication_position& since) const
+    {
+        return to_frame(update_since(log_, since));
+    }
+
+    // Returns a frame that names the standbys too.
+    shared_frame first_frame_since(const replication_position& since) const
     {
         auto update = update_since(log_, since);
-        if (names_standbys && appoints_standbys_)
+        if (appoints_standbys_)
         {
             update.standbys_ = standbys_;
         }
+        return to_frame(std::move(update));
+    }
+
+    shared_frame to_frame(registry_update update) const
+    {
         update.store_response_age_ = measure_store_response_age_();
         return std::make_shared<const std::string>(write_update(update));
     }
@@ -410,13 +418,16 @@
 
     // Sends what follows the position to all subscribers. One update serves
     // them all, since each has reached the same position after its first one.
-    void notify(const replication_position& since, bool names_standbys = false)
+    void notify(const replication_position& since)
     {
-        if (sessions_.empty())
+        if (!sessions_.empty())
         {
-            return;
+            broadcast(frame_since(since));
         }
-        const auto frame = frame_since(since, names_standbys);
+    }
+
+    void broadcast(const shared_frame& frame)
+    {
         const auto sessions = sessions_;
         for (const auto& session : sessions)
         {
