Split what a VM holds of the store off the control of its sources

Cause: registry_control.cpp had two jobs, the choice of a source (watcher, standby, store) and the contents: release, targets, expiry, publishing to subscribers. Change: store_replica has the second. The version and the revision of the contents are no longer kept twice. No behaviour is meant to change.

--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -2,10 +2,9 @@
 
 #include <av_core/log_event.hpp>
 #include <av_core/monotonic_clock.hpp>
+#include <av_feed/store_replica.hpp>
 #include <av_feed/store_session.hpp>
-#include <av_feed/target_log.hpp>
 #include <av_net/duration.hpp>
-#include <av_registry/target_registry.hpp>
 #include <av_registry/watcher_choice.hpp>
 #include <av_replication/registry_publisher.hpp>
 #include <av_replication/registry_subscriber.hpp>
@@ -72,20 +71,12 @@
         : context_(context)
         , options_(std::move(options))
         , release_name_(calls.release_name_)
-        , handlers_(std::move(handlers))
         , watchers_(
               make_watcher_records(options_.watchers_, options_.peer_address_))
         , is_watcher_(watchers_.empty())
-        , publishes_(is_watcher_)
         , random_(std::random_device()())
-        , expiry_timer_(context)
         , watcher_search_timer_(context)
         , store_fallback_timer_(context)
-        , store_(context,
-                 std::move(calls),
-                 observer(),
-                 is_watcher_ ? watcher_call_intervals
-                             : subscriber_call_intervals)
         , server_(context,
                   options_.failure_domain_,
                   is_watcher_,
@@ -93,9 +84,20 @@
                   {
                       return monotonic_now() - answered_at();
                   })
+        , replica_(context,
+                   server_,
+                   std::move(handlers),
+                   options_.target_heartbeat_interval_)
+        , store_(context,
+                 std::move(calls),
+                 observer(),
+                 is_watcher_ ? watcher_call_intervals
+                             : subscriber_call_intervals)
     {
-        registry_.min_expiring_outage_ =
-            min_expiring_outage(options_.target_heartbeat_interval_);
+        if (is_watcher_)
+        {
+            replica_.start_publishing();
+        }
     }
 
     absl::Status start()
@@ -120,9 +122,10 @@
 
     registry_state state() const
     {
-        auto result = state_;
+        registry_state result;
         result.answered_at_ = answered_at();
-        result.targets_ = registry_.entries_.size();
+        result.watcher_losses_ = watcher_losses_;
+        replica_.describe(result);
         result.subscribers_ = server_.subscribers();
         result.calls_ = store_.counts();
         if (receives_updates())
@@ -143,7 +146,7 @@
             {
                 if (object.name_ == release_name_ && object.value_)
                 {
-                    apply_release(
+                    replica_.apply_release(
                         std::make_shared<const release>(*object.value_));
                 }
             }
@@ -151,87 +154,27 @@
         result.on_target_listing_ =
             [this](const std::vector<listed_target>& objects)
         {
-            apply_listing(registry_, objects, monotonic_now());
             // Changes from a watcher can't be applied to this listing, only to
             // a snapshot from the same watcher.
             position_ = {};
             needs_snapshot_ = true;
-            publish_registry(store_.target_revision());
+            replica_.apply_listing(objects, store_.target_revision());
         };
         result.on_target_changes_ =
             [this](const std::vector<target_change>& changes)
         {
-            apply_changes(registry_, changes, monotonic_now());
-            publish_registry(store_.target_revision());
+            replica_.apply_changes(changes, store_.target_revision());
         };
         result.on_answer_ = [this]
         {
-            record_store_answer(registry_, monotonic_now());
+            replica_.record_answer(monotonic_now());
         };
         return result;
     }
 
-    void apply_release(std::shared_ptr<const release> value)
-    {
-        if (value->version_ <= state_.version_)
-        {
-            return;
-        }
-        state_.version_ = value->version_;
-        state_.release_at_ = monotonic_now();
-        release_ = value;
-        if (publishes_)
-        {
-            server_.publish_release(value);
-        }
-        handlers_.on_release_(std::move(value));
-    }
-
-    void publish_registry(store_revision revision)
-    {
-        revision_ = std::max(revision_, revision);
-        if (publishes_)
-        {
-            server_.publish_targets(registry_.entries_, revision_);
-        }
-        publish_targets();
-        schedule_expiry();
-    }
-
-    void publish_targets()
-    {
-        auto targets = registered_targets(registry_);
-        log_target_changes(published_, targets, revision_);
-        published_ = std::move(targets);
-        state_.targets_at_ = monotonic_now();
-        handlers_.on_targets_(published_);
-    }
-
-    // Schedules the removal of entries when they expire. Entries that return
-    // before then are kept.
-    void schedule_expiry()
-    {
-        const auto at = next_expiry(registry_);
-        if (!at)
-        {
-            return;
-        }
-        expiry_timer_.expires_after(
-            to_duration(std::max(milliseconds(0.0), *at - monotonic_now())));
-        expiry_timer_.async_wait(
-            [this](const boost::system::error_code& error)
-            {
-                if (!error)
-                {
-                    remove_expired(registry_, monotonic_now());
-                    publish_registry(revision_);
-                }
-            });
-    }
-
     milliseconds answered_at() const
     {
-        return std::max(state_.answered_at_, store_.answered_at());
+        return std::max(watcher_answered_at_, store_.answered_at());
     }
 
     // Returns whether a watcher sends usable updates to this VM.
@@ -336,7 +279,7 @@
             end_cause_ = subscription_end_cause::abandoned;
             return false;
         }
-        if (update.store_revision_ < revision_)
+        if (update.store_revision_ < replica_.revision())
         {
             return false;
         }
@@ -377,10 +320,11 @@
             .field("standby", is_standby)
             .field("watcher", watchers_[*watcher_].address_)
             .write();
-        if (is_standby && !std::exchange(publishes_, true) && release_)
+        if (is_standby)
         {
-            server_.publish_release(release_);
-            server_.publish_targets(registry_.entries_, revision_);
+            // It goes on when it is no standby any more, since it may have
+            // subscribers still.
+            replica_.start_publishing();
         }
     }
 
@@ -429,34 +373,13 @@
 
     void apply(const registry_update& update, milliseconds now)
     {
-        state_.answered_at_ = now - update.store_response_age_;
-        record_store_answer(registry_, state_.answered_at_);
+        watcher_answered_at_ = now - update.store_response_age_;
+        replica_.record_answer(watcher_answered_at_);
+        needs_snapshot_ = needs_snapshot_ && !update.is_snapshot_;
         position_.epoch_ = update.epoch_;
         position_.sequence_ = update.sequence_;
-        if (update.release_)
-        {
-            apply_release(update.release_);
-        }
-        position_.release_version_ = state_.version_;
-        if (update.is_snapshot_)
-        {
-            needs_snapshot_ = false;
-            apply_snapshot(registry_, update.changes_, now);
-            publish_registry(update.store_revision_);
-        }
-        else if (!update.changes_.empty())
-        {
-            apply_changes(registry_, update.changes_, now);
-            publish_registry(update.store_revision_);
-        }
-        if (update.store_revision_ > revision_)
-        {
-            revision_ = update.store_revision_;
-            if (publishes_)
-            {
-                server_.publish_targets(registry_.entries_, revision_);
-            }
-        }
+        replica_.apply_update(update);
+        position_.release_version_ = replica_.version();
     }
 
     void handle_subscription_end(const std::string& reason)
@@ -478,11 +401,12 @@
         {
             return;
         }
-        ++state_.watcher_losses_;
+        ++watcher_losses_;
         log_event(log_level::warning, "watcher_lost")
             .field("address", watchers_[*watcher_].address_)
             .field("reason", reason)
-            .field("store_answered_ago_ms", (now - state_.answered_at_).count())
+            .field("store_answered_ago_ms",
+                   (now - watcher_answered_at_).count())
             .write();
         schedule_store_fallback(is_standby_ ? milliseconds(0.0)
                                             : store_fallback_delay);
@@ -505,25 +429,16 @@
     asio::io_context& context_;
     const registry_options options_;
     const std::string release_name_;
-    registry_handlers handlers_;
     std::vector<watcher_record> watchers_;
     const bool is_watcher_;
     // Whether this VM is a standby of its watcher.
     bool is_standby_ = false;
-    // Whether contents are kept for subscribers, which takes time and memory
-    // with each change: on watchers, and on VMs that were a standby, since they
-    // may have subscribers still. Others tell those to look elsewhere.
-    bool publishes_;
     std::minstd_rand random_;
-    asio::steady_timer expiry_timer_;
     asio::steady_timer watcher_search_timer_;
     asio::steady_timer store_fallback_timer_;
-    registry_state state_;
-    target_registry registry_;
-    std::map<std::string, target_spec> published_;
-    // Revision of the store up to which this VM knows the targets.
-    store_revision revision_ = 0;
-    std::shared_ptr<const release> release_;
+    // When the store last answered a watcher, by the watcher's report.
+    milliseconds watcher_answered_at_;
+    std::uint64_t watcher_losses_ = 0;
     std::optional<std::size_t> watcher_;
     replication_position position_;
     bool receives_updates_ = false;
@@ -535,8 +450,9 @@
     // Whether this VM lacks the state that the watcher's changes apply to, so
     // that only a snapshot can be used.
     bool needs_snapshot_ = false;
-    store_session store_;
     registry_publisher server_;
+    store_replica replica_;
+    store_session store_;
     std::unique_ptr<registry_subscriber> client_;
 };
 
