--- a/benches/policy_bench/service_simulation.hpp
+++ b/benches/policy_bench/service_simulation.hpp
@@ -74,6 +74,9 @@
     load_report report_;
 };
 
+// Number of the target that the fault of a scenario affects.
+constexpr int target_with_fault = 1;
+
 // Simulates one run of one service: holds the VMs and targets, the pending
 // events and the counts so far.
 class service_simulation
