--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -274,6 +274,19 @@
         {
             return handle_unreachable_store(update, now);
         }
+        if (!can_apply(update, now))
+        {
+            return false;
+        }
+        apply(update, now);
+        begin_receiving(update);
+        return true;
+    }
+
+    // Returns whether the update applies to what this VM has, and the
+    // subscription is worth keeping. Sets why it ends otherwise.
+    bool can_apply(const registry_update& update, milliseconds now)
+    {
         if (needs_snapshot_ && !update.is_snapshot_)
         {
             end_cause_ = subscription_end_cause::abandoned;
@@ -290,19 +303,24 @@
             end_cause_ = subscription_end_cause::abandoned;
             return false;
         }
-        apply(update, now);
-        if (!std::exchange(receives_updates_, true))
+        return true;
+    }
+
+    // Relies on the watcher from now on, and no longer on the store.
+    void begin_receiving(const registry_update& update)
+    {
+        if (std::exchange(receives_updates_, true))
         {
-            last_watcher_ = watcher_;
-            store_fallback_timer_.cancel();
-            store_.stop();
-            log_event(log_level::info, "watcher_found")
-                .field("address", watcher.address_)
-                .field("failure_domain", update.failure_domain_)
-                .field("revision", update.store_revision_)
-                .write();
+            return;
         }
-        return true;
+        last_watcher_ = watcher_;
+        store_fallback_timer_.cancel();
+        store_.stop();
+        log_event(log_level::info, "watcher_found")
+            .field("address", watchers_[*watcher_].address_)
+            .field("failure_domain", update.failure_domain_)
+            .field("revision", update.store_revision_)
+            .write();
     }
 
     void apply_standbys(const std::vector<std::string>& standbys)
