Bound an endless body by what the VM relays, not by the target's framing

The check compared bytes on the target's connection with what all buffers take, but a chunk of one byte is sent as six bytes, so buffers that are full of relayed content stand for six times as many. Measured without the limit, in three runs of a Release build: the target's writes stop at 28,780,368, 28,699,731 and 27,706,449 bytes, and the other bodies between 4.0 and 8.6 million, so flow control works. Change: the limit holds for the bytes that are relayed: chunks of one byte have six times the limit on the wire, and chunks of 16 KiB join the test under the plain limit. The call's deadline is 1.5 s instead of 0.4 s, so that a VM without flow control reaches the larger limit too.

--- a/modules/av_proxy/tests/endless_bytes_test.cpp
+++ b/modules/av_proxy/tests/endless_bytes_test.cpp
@@ -11,7 +11,9 @@
 {
 
 // More than all buffers on the path take together.
-constexpr std::size_t max_accepted_bytes = std::size_t{16} * 1024 * 1024;
+constexpr std::size_t max_buffered_bytes = std::size_t{16} * 1024 * 1024;
+// Long enough for a VM without flow control to exceed every limit below.
+constexpr double call_timeout_ms = 1500.0;
 
 release with_timeout(release value, double timeout_ms)
 {
@@ -23,7 +25,8 @@
 // connection, or up to the limit. Returns how many bytes were accepted.
 std::size_t send_without_end(test_connection& connection,
                              const std::string& beginning,
-                             const std::string& repeated)
+                             const std::string& repeated,
+                             std::size_t limit = max_buffered_bytes)
 {
     std::string block;
     while (block.size() < 16 * 1024)
@@ -34,7 +37,7 @@
     auto& socket = connection.socket();
     std::size_t sent =
         boost::asio::write(socket, boost::asio::buffer(beginning), error);
-    while (!error && sent < max_accepted_bytes)
+    while (!error && sent < limit)
     {
         sent += boost::asio::write(socket, boost::asio::buffer(block), error);
     }
@@ -46,6 +49,8 @@
     const char* name_;
     std::string beginning_;
     std::string repeated_;
+    // Bytes sent for each byte that the VM relays or buffers.
+    std::size_t sent_per_relayed_ = 1;
 };
 
 const std::string ok_line = "HTTP/1.1 200 OK\r\nX-Call: 7\r\nX-Signed: 1\r\n";
@@ -78,10 +83,10 @@
 // Valid but for its length.
 std::vector<endless_message> endless_bodies()
 {
+    const auto chunked = ok_line + "Transfer-Encoding: chunked\r\n\r\n";
     return {
-        {"chunks",
-         ok_line + "Transfer-Encoding: chunked\r\n\r\n",
-         "1\r\na\r\n"},
+        {"chunks of one byte", chunked, "1\r\na\r\n", 6},
+        {"chunks", chunked, "4000\r\n" + std::string(0x4000, 'a') + "\r\n"},
         {"body without length", ok_line + "\r\n", "x"},
         {"long body", ok_line + "Content-Length: 99999999999\r\n\r\n", "x"}};
 }
@@ -102,7 +107,7 @@
         connection.read_header();
         const auto sent =
             send_without_end(connection, endless.beginning_, endless.repeated_);
-        BOOST_TEST(sent < max_accepted_bytes);
+        BOOST_TEST(sent < max_buffered_bytes);
         BOOST_TEST(outcome_of(caller.read_header()) ==
                    "unknown target_answer_malformed");
     }
@@ -138,17 +143,19 @@
         BOOST_TEST_CONTEXT(endless.name_)
         {
             scripted_target target;
-            relay vm(with_timeout(make_release({target.address()}), 400.0),
-                     custom_dialect_settings());
+            relay vm(
+                with_timeout(make_release({target.address()}), call_timeout_ms),
+                custom_dialect_settings());
             auto caller = vm.call();
             caller.send("POST /kits HTTP/1.1\r\nHost: h\r\nX-Call: 7\r\n"
                         "Connection: close\r\nContent-Length: 0\r\n\r\n");
             auto connection = target.accept();
             connection.read_header();
             // The caller reads nothing meanwhile.
+            const auto limit = max_buffered_bytes * endless.sent_per_relayed_;
             const auto sent = send_without_end(
-                connection, endless.beginning_, endless.repeated_);
-            BOOST_TEST(sent < max_accepted_bytes);
+                connection, endless.beginning_, endless.repeated_, limit);
+            BOOST_TEST(sent < limit);
             // On a slow machine the deadline may pass before any of it was
             // relayed; the VM then answers itself.
             const auto response = caller.read_to_end();
@@ -179,7 +186,7 @@
     connection.read_header();
     const auto sent = send_without_end(
         connection, ok_line + "Content-Length: 3\r\n\r\none", "x");
-    BOOST_TEST(sent < max_accepted_bytes);
+    BOOST_TEST(sent < max_buffered_bytes);
     BOOST_TEST(outcome_of(caller.read_header()) == "answered");
     BOOST_TEST(caller.read_bytes(3) == "one");
     caller.send(request);
@@ -208,7 +215,7 @@
             auto caller = vm.call();
             const auto sent =
                 send_without_end(caller, endless.beginning_, endless.repeated_);
-            BOOST_TEST(sent < max_accepted_bytes);
+            BOOST_TEST(sent < max_buffered_bytes);
         }
     }
 }
