Keep an idle connection with an unread request when a VM stops

Cause: a VM that stops closes the connections of callers that have been idle for 0.5 s. If its thread is busy, a request may have arrived on one of them that was not read yet; closing a socket with unread bytes resets it, and a caller with a request that isn't idempotent can't tell whether it ran. Found by looking for what operators of similar systems report (requests cut off by a planned stop under load). Ruled out: the idle timeout while serving; the event loop queues input before timers of the same pass. Change: caller_connection::close_if_unused looks for input first. The tests block the VM's thread by a notice listener that waits.

--- a/modules/av_proxy/caller_connection.cpp
+++ b/modules/av_proxy/caller_connection.cpp
@@ -82,6 +82,16 @@
     socket_.close(ignored);
 }
 
+void caller_connection::close_if_unused()
+{
+    error_code error;
+    const bool has_unread_request = socket_.available(error) > 0 && !error;
+    if (is_idle() && !has_unread_request)
+    {
+        close();
+    }
+}
+
 const exchange_queue& caller_connection::exchanges() const
 {
     return exchanges_;
@@ -455,11 +465,16 @@
 
 void caller_connection::on_timeout()
 {
-    if (lingering_ || is_idle())
+    if (lingering_)
     {
         close();
         return;
     }
+    if (is_idle())
+    {
+        close_if_unused();
+        return;
+    }
     if (exchanges_.end_overdue_call(worker_.now()))
     {
         return;
--- a/modules/av_proxy/caller_connection.hpp
+++ b/modules/av_proxy/caller_connection.hpp
@@ -41,6 +41,10 @@
     milliseconds idle_since() const;
 
     void close();
+    // Closes the connection if no request is in progress and none has arrived
+    // that was not read yet: closing would reset it, and the caller could not
+    // tell whether it ran.
+    void close_if_unused();
 
     // Used by the exchanges.
     const exchange_queue& exchanges() const;
--- a/modules/av_proxy/tests/relay_fixture.hpp
+++ b/modules/av_proxy/tests/relay_fixture.hpp
@@ -267,8 +267,11 @@
 class relay
 {
 public:
+    // A valid after_notice blocks the thread that gives a notice until it is
+    // ready, so that events can be made to wait for each other.
     explicit relay(const release& value,
-                   request_path_settings settings = single_thread_settings())
+                   request_path_settings settings = single_thread_settings(),
+                   std::shared_future<void> after_notice = {})
     {
         settings.deployment_ = "hanoi";
         settings.callers_address_ = std::string(loopback) + ":0";
@@ -276,9 +279,14 @@
         auto built = request_path_builder()
                          .settings(settings)
                          .notice_listener(
-                             [this](const target_notice& notice)
+                             [this, after_notice = std::move(after_notice)](
+                                 const target_notice& notice)
                              {
                                  notices_.set_value(notice);
+                                 if (after_notice.valid())
+                                 {
+                                     after_notice.wait();
+                                 }
                              })
                          .build();
         BOOST_TEST_REQUIRE(built.ok());
--- a/modules/av_proxy/worker.cpp
+++ b/modules/av_proxy/worker.cpp
@@ -498,7 +498,7 @@
     }
     for (const auto& connection : idle)
     {
-        connection->close();
+        connection->close_if_unused();
     }
     idle.clear();
     if (connections_.empty())
