Settle small open points: explain, help, addresses and faults of stand-ins

Found beside it: the stand-ins' parse_endpoint had the same signature as that of av_net but another return type, so that both had one linker name in one program. Change: `explain` reads home_vm, which attempt_ended now has too, as call_sent had; the stand-ins' function is require_endpoint and uses av_net's; read_if_present, which stood twice, is shared, and the relay takes all of its faults or none.

--- a/benches/bare_relay/main.cpp
+++ b/benches/bare_relay/main.cpp
@@ -147,12 +147,12 @@
     for (const auto address : absl::StrSplit(targets, ','))
     {
         pools.push_back(
-            {anvilturn::parse_endpoint({address.data(), address.size()}), {}});
+            {anvilturn::require_endpoint({address.data(), address.size()}), {}});
     }
     relay request_relay(context, std::move(pools));
     const anvilturn::http_server server(
         context,
-        anvilturn::parse_endpoint(anvilturn::text_of(args, "--listen")),
+        anvilturn::require_endpoint(anvilturn::text_of(args, "--listen")),
         {},
         [&request_relay](const auto& session)
         {
--- a/modules/av_client/call_explanation.cpp
+++ b/modules/av_client/call_explanation.cpp
@@ -63,15 +63,23 @@
                                     : std::string(entry->remedy_);
 }
 
+// Returns where an attempt of the call went: the name of a target, or of the VM
+// that it was forwarded to.
+std::string destination_of(const log_fields& line)
+{
+    const auto vm = field_value(line, "home_vm");
+    return vm.empty() ? field_value(line, "target") : "VM " + vm;
+}
+
 // What the log lines of one call report.
 struct call_summary
 {
     int attempts_ = 0;
     // Time from the start of the call to its last attempt.
     std::string waited_ms_;
-    // Target of the last attempt.
-    std::string target_;
-    // Reason, target and duration of each failed attempt, in their order.
+    // Target or VM of the last attempt.
+    std::string destination_;
+    // Reason, destination and duration of each failed attempt, in their order.
     std::string attempt_failures_;
     // Fields of the line call_ended; nullopt if there is none.
     std::optional<log_fields> end_fields_;
@@ -88,14 +96,14 @@
         {
             ++summary.attempts_;
             summary.waited_ms_ = field_value(values, "waited_ms");
-            summary.target_ = field_value(values, "target");
+            summary.destination_ = destination_of(values);
         }
         else if (event == "attempt_ended")
         {
             summary.attempt_failures_ +=
                 (summary.attempt_failures_.empty() ? "" : ", then ") +
                 field_value(values, "reason") + " at " +
-                field_value(values, "target") + " after " +
+                destination_of(values) + " after " +
                 field_value(values, "ran_ms") + " ms";
         }
         else if (event == "call_ended")
@@ -116,10 +124,13 @@
         return {};
     }
     const auto& end = *summary.end_fields_;
+    const auto report_age = field_value(end, "newest_report_ms");
+    const bool has_report = std::strtod(report_age.c_str(), nullptr) >= 0.0;
     return ": of " + field_value(end, "eligible") + " eligible targets, " +
            field_value(end, "full") + " were full and " +
-           field_value(end, "slowed") + " slowed; the newest load report was " +
-           field_value(end, "newest_report_ms") + " ms old";
+           field_value(end, "slowed") + " slowed; " +
+           (has_report ? "the newest load report was " + report_age + " ms old"
+                       : "none of them had reported its load");
 }
 
 std::string describe_attempts(const call_summary& summary)
@@ -129,7 +140,7 @@
         return "it was sent to no target" + describe_targets(summary);
     }
     std::string text = "attempts: " + std::to_string(summary.attempts_) +
-                       ", the last to " + summary.target_ + " after " +
+                       ", the last to " + summary.destination_ + " after " +
                        summary.waited_ms_ + " ms";
     if (!summary.attempt_failures_.empty())
     {
--- a/modules/av_client/tests/call_explanation_test.cpp
+++ b/modules/av_client/tests/call_explanation_test.cpp
@@ -72,6 +72,33 @@
                         "the newest load report was 3.100 ms old"));
 }
 
+// The summary has an age of -1 if no eligible target has reported.
+BOOST_AUTO_TEST_CASE(a_summary_without_load_reports_says_so)
+{
+    const auto explained = explain_call(
+        "9c41",
+        {call_ended_line(
+            "outcome=not-run reason=deadline_unreachable eligible=2 "
+            "full=2 slowed=0 newest_report_ms=-1.000")});
+    BOOST_TEST(contains(explained.summary_,
+                        "2 were full and 0 slowed; none of them had reported "
+                        "its load"));
+    BOOST_TEST(!contains(explained.summary_, "-1"));
+}
+
+BOOST_AUTO_TEST_CASE(a_forwarded_call_is_explained_with_its_vm)
+{
+    const auto explained = explain_call(
+        "9c41",
+        {"time_ms=1000.5 event=call_sent call=9c41 service=kits "
+         "home_vm=a-2 attempt=1 waited_ms=3.2",
+         "time_ms=1050.5 event=attempt_ended call=9c41 home_vm=a-2 "
+         "attempt=1 reason=target_answer_lost refused=false ran_ms=50.0",
+         call_ended_line("outcome=unknown reason=target_answer_lost")});
+    BOOST_TEST(contains(explained.summary_, "the last to VM a-2 after 3.2 ms"));
+    BOOST_TEST(contains(explained.summary_, "target_answer_lost at VM a-2"));
+}
+
 BOOST_AUTO_TEST_CASE(answered_call_is_explained_with_wait_and_total_time)
 {
     const auto explained = explain_call(
--- a/modules/av_proxy/proxied_call_end.cpp
+++ b/modules/av_proxy/proxied_call_end.cpp
@@ -265,7 +265,7 @@
     }
     log_event(log_level::info, "attempt_ended")
         .field("call", call_id_)
-        .field("target", target_->name_)
+        .field(to_vm_ ? "home_vm" : "target", target_->name_)
         .field("attempt", attempts_)
         .field("reason", describe(kind).name_)
         .field("refused", refused)
--- a/modules/av_settings/daemon_arguments.cpp
+++ b/modules/av_settings/daemon_arguments.cpp
@@ -29,6 +29,7 @@
 
 Signals:
   SIGTERM, SIGINT       graceful shutdown
+  SIGHUP                reload the settings; only the log level changes
 
 Exit codes:
   0  shut down on request, or the settings are valid
--- a/modules/av_settings/tests/settings_test.cpp
+++ b/modules/av_settings/tests/settings_test.cpp
@@ -227,6 +227,15 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(usage_names_every_handled_signal)
+{
+    for (const std::string_view signal : {"SIGTERM", "SIGINT", "SIGHUP"})
+    {
+        BOOST_TEST((daemon_usage().find(signal) != std::string_view::npos),
+                   signal);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(invalid_command_lines_are_rejected)
 {
     const std::vector<std::vector<std::string>> refused = {
--- a/standins/common/http_server.cpp
+++ b/standins/common/http_server.cpp
@@ -1,5 +1,7 @@
 #include <common/http_server.hpp>
 
+#include <av_net/endpoint.hpp>
+
 #include <boost/asio/write.hpp>
 
 #include <sys/socket.h>
@@ -284,17 +286,15 @@
     return target.substr(0, target.find('?'));
 }
 
-tcp::endpoint parse_endpoint(std::string_view text)
+tcp::endpoint require_endpoint(std::string_view text)
 {
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos)
+    const auto endpoint = parse_endpoint(text);
+    if (!endpoint)
     {
         throw std::runtime_error("expected ADDRESS:PORT, got: " +
                                  std::string(text));
     }
-    const auto number = std::stoul(std::string(text.substr(colon + 1)));
-    return {asio::ip::make_address(std::string(text.substr(0, colon))),
-            static_cast<std::uint16_t>(number)};
+    return *endpoint;
 }
 
 } // namespace anvilturn
--- a/standins/common/http_server.hpp
+++ b/standins/common/http_server.hpp
@@ -137,9 +137,9 @@
 // Returns the path of a request target without the query.
 std::string_view path_of(std::string_view target);
 
-// Parses an address with a port, such as "127.0.0.1:80"; throws a
-// std::exception if either cannot be parsed.
-boost::asio::ip::tcp::endpoint parse_endpoint(std::string_view text);
+// Parses an IP address with a port, such as "127.0.0.1:80"; throws
+// std::runtime_error if it is malformed. Use parse_endpoint to handle that.
+boost::asio::ip::tcp::endpoint require_endpoint(std::string_view text);
 
 } // namespace anvilturn
 
--- a/standins/fake_platform/main.cpp
+++ b/standins/fake_platform/main.cpp
@@ -57,7 +57,7 @@
     options.reads_per_second_ = number_of(args, "--reads-per-second");
     const auto address = args.at("--listen").asString();
     const anvilturn::platform platform(
-        context, anvilturn::parse_endpoint(address), options);
+        context, anvilturn::require_endpoint(address), options);
     anvilturn::log_event(anvilturn::log_level::info, "platform_listening")
         .field("address", address)
         .write();
--- a/standins/fake_platform/platform.cpp
+++ b/standins/fake_platform/platform.cpp
@@ -1,6 +1,7 @@
 #include <fake_platform/platform.hpp>
 
 #include <common/standin_program.hpp>
+#include <common/yaml_values.hpp>
 
 #include <av_core/monotonic_clock.hpp>
 
@@ -76,25 +77,6 @@
                                        });
 }
 
-template <typename Value>
-void read_if_present(const YAML::Node& node, const char* key, Value& value)
-{
-    if (node[key])
-    {
-        value = node[key].as<Value>();
-    }
-}
-
-void read_if_present(const YAML::Node& node,
-                     const char* key,
-                     milliseconds& value)
-{
-    if (node[key])
-    {
-        value = milliseconds(node[key].as<double>());
-    }
-}
-
 } // namespace
 
 platform::platform(boost::asio::io_context& context,
--- a/standins/fake_target/main.cpp
+++ b/standins/fake_target/main.cpp
@@ -106,7 +106,7 @@
         options.seed_ = seed * 1000 + index;
         targets.push_back(std::make_unique<anvilturn::target>(
             context,
-            anvilturn::parse_endpoint({address.data(), address.size()}),
+            anvilturn::require_endpoint({address.data(), address.size()}),
             options));
     }
     return targets;
@@ -189,7 +189,7 @@
     const auto targets = open_targets(context, args);
     const anvilturn::http_server control(
         context,
-        anvilturn::parse_endpoint(args.at("--control").asString()),
+        anvilturn::require_endpoint(args.at("--control").asString()),
         {},
         [&targets](const auto& session)
         {
--- a/standins/fake_target/target_control.cpp
+++ b/standins/fake_target/target_control.cpp
@@ -2,6 +2,8 @@
 
 #include <fake_target/target.hpp>
 
+#include <common/yaml_values.hpp>
+
 #include <av_core/monotonic_clock.hpp>
 
 #include <yaml-cpp/yaml.h>
@@ -14,15 +16,6 @@
 namespace
 {
 
-template <typename Value>
-void read_if_present(const YAML::Node& node, const char* key, Value& value)
-{
-    if (node[key])
-    {
-        value = node[key].as<Value>();
-    }
-}
-
 fail_fast_kind read_fail_fast(const std::string& text)
 {
     if (text == "error")
--- a/standins/fault_relay/link.cpp
+++ b/standins/fault_relay/link.cpp
@@ -1,6 +1,7 @@
 #include <fault_relay/link.hpp>
 
 #include <common/standin_program.hpp>
+#include <common/yaml_values.hpp>
 
 #include <boost/asio/write.hpp>
 
@@ -204,22 +205,25 @@
 void link::change_faults(const std::string& yaml)
 {
     const auto node = YAML::Load(yaml);
-    faults_.refuse_ = node["refuse"].as<bool>(faults_.refuse_);
-    faults_.pause_to_server_ =
-        node["hold_up"].as<bool>(faults_.pause_to_server_);
-    faults_.pause_to_client_ =
-        node["hold_down"].as<bool>(faults_.pause_to_client_);
-    faults_.delay_ =
-        milliseconds(node["delay_ms"].as<double>(faults_.delay_.count()));
+    auto faults = faults_;
+    bool resets = false;
+    bool half_opens = false;
+    read_if_present(node, "refuse", faults.refuse_);
+    read_if_present(node, "hold_up", faults.pause_to_server_);
+    read_if_present(node, "hold_down", faults.pause_to_client_);
+    read_if_present(node, "delay_ms", faults.delay_);
+    read_if_present(node, "reset", resets);
+    read_if_present(node, "half_open", half_opens);
+    faults_ = faults;
     const auto connections = connections_;
     for (const auto& connection : connections)
     {
-        if (node["reset"].as<bool>(false))
+        if (resets)
         {
             connection->reset();
             remove(connection);
         }
-        else if (node["half_open"].as<bool>(false))
+        else if (half_opens)
         {
             connection->half_open();
         }
--- a/standins/fault_relay/main.cpp
+++ b/standins/fault_relay/main.cpp
@@ -54,8 +54,8 @@
         links.push_back(std::make_unique<anvilturn::link>(
             context,
             fields[0],
-            anvilturn::parse_endpoint(fields[1]),
-            anvilturn::parse_endpoint(fields[2])));
+            anvilturn::require_endpoint(fields[1]),
+            anvilturn::require_endpoint(fields[2])));
     }
     return links;
 }
@@ -98,7 +98,7 @@
     const auto links = open_links(context, anvilturn::text_of(args, "--links"));
     const anvilturn::http_server control(
         context,
-        anvilturn::parse_endpoint(anvilturn::text_of(args, "--control")),
+        anvilturn::require_endpoint(anvilturn::text_of(args, "--control")),
         {},
         [&links](const auto& session)
         {
