--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -42,6 +42,10 @@
 // It is longer at startup, when the watchers may be starting too.
 constexpr milliseconds store_fallback_delay_at_startup{1500.0};
 constexpr milliseconds store_fallback_delay{300.0};
+// A VM that starts waits up to this long in all while a snapshot from a watcher
+// is arriving. If many VMs start at once, the snapshots fill the watchers'
+// links for a while, and listings for each VM would fill the store's.
+constexpr milliseconds max_snapshot_wait_at_startup{6000.0};
 // A standby asks the store once the store's last answer to its watcher is this
 // old, so that it has the store's contents when other VMs leave the watcher.
 constexpr milliseconds standby_takeover_age{700.0};
@@ -391,7 +395,8 @@
 
     void apply(const registry_update& update, milliseconds now)
     {
-        watcher_answered_at_ = now - update.store_response_age_;
+        watcher_answered_at_ =
+            now - update.transfer_time_ - update.store_response_age_;
         replica_.record_answer(watcher_answered_at_);
         needs_snapshot_ = needs_snapshot_ && !update.is_snapshot_;
         position_.epoch_ = update.epoch_;
@@ -430,13 +435,30 @@
                                             : store_fallback_delay);
     }
 
+    // Returns whether the first contents of this VM are arriving, and not for
+    // too long.
+    bool awaits_first_snapshot() const
+    {
+        return replica_.revision() == 0 && client_ &&
+               client_->is_receiving_first_message() &&
+               monotonic_now() - started_at_ < max_snapshot_wait_at_startup;
+    }
+
     void schedule_store_fallback(milliseconds time)
     {
         store_fallback_timer_.expires_after(to_duration(time));
         store_fallback_timer_.async_wait(
             [this](const boost::system::error_code& error)
             {
-                if (!error && !receives_updates_ && !store_.is_running())
+                if (error || receives_updates_ || store_.is_running())
+                {
+                    return;
+                }
+                if (awaits_first_snapshot())
+                {
+                    schedule_store_fallback(store_fallback_delay);
+                }
+                else
                 {
                     log_event(log_level::info, "store_followed").write();
                     store_.start_with_check();
@@ -445,6 +467,7 @@
     }
 
     asio::io_context& context_;
+    const milliseconds started_at_ = monotonic_now();
     const registry_options options_;
     const std::string release_name_;
     std::vector<watcher_record> watchers_;
--- a/modules/av_replication/registry_log.cpp
+++ b/modules/av_replication/registry_log.cpp
@@ -96,6 +96,19 @@
     log.release_ = std::move(value);
 }
 
+bool needs_snapshot(const registry_log& log,
+                    const replication_position& position)
+{
+    return position.epoch_ != log.epoch_ ||
+           !has_changes_since(log, position.sequence_);
+}
+
+bool lacks_release(const registry_log& log,
+                   const replication_position& position)
+{
+    return log.release_ && log.release_->version_ > position.release_version_;
+}
+
 registry_update update_since(const registry_log& log,
                              const replication_position& position)
 {
@@ -104,17 +117,15 @@
     update.failure_domain_ = log.failure_domain_;
     update.sequence_ = log.sequence_;
     update.store_revision_ = log.store_revision_;
-    const bool has_base = position.epoch_ == log.epoch_ &&
-                          has_changes_since(log, position.sequence_);
-    if (has_base)
+    if (needs_snapshot(log, position))
     {
-        add_changes_since(log, position.sequence_, update);
+        add_snapshot(log, update);
     }
     else
     {
-        add_snapshot(log, update);
+        add_changes_since(log, position.sequence_, update);
     }
-    if (log.release_ && log.release_->version_ > position.release_version_)
+    if (lacks_release(log, position))
     {
         update.release_ = log.release_;
     }
--- a/modules/av_replication/registry_log.hpp
+++ b/modules/av_replication/registry_log.hpp
@@ -44,6 +44,16 @@
 
 void record_release(registry_log& log, std::shared_ptr<const release> value);
 
+// Returns whether a subscriber at the position needs a snapshot, since it
+// followed another watcher or the changes since are no longer retained.
+bool needs_snapshot(const registry_log& log,
+                    const replication_position& position);
+
+// Returns whether the release is newer than that of a subscriber at the
+// position.
+bool lacks_release(const registry_log& log,
+                   const replication_position& position);
+
 // Returns what a subscriber at the position lacks: the changes since then, or a
 // snapshot if they are no longer retained.
 registry_update update_since(const registry_log& log,
--- a/modules/av_replication/registry_publisher.cpp
+++ b/modules/av_replication/registry_publisher.cpp
@@ -2,6 +2,7 @@
 
 #include <av_core/error.hpp>
 #include <av_core/log_event.hpp>
+#include <av_core/monotonic_clock.hpp>
 #include <av_net/duration.hpp>
 #include <av_net/endpoint.hpp>
 #include <av_registry/watcher_choice.hpp>
@@ -15,8 +16,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
-#include <deque>
 #include <optional>
 #include <random>
 #include <set>
@@ -35,9 +36,13 @@
 
 using shared_frame = std::shared_ptr<const std::string>;
 
-// A subscriber with more pending messages is disconnected, and then subscribes
-// again.
-constexpr std::size_t max_pending_frames = 64;
+// A subscriber that takes longer to read a message is disconnected.
+constexpr milliseconds max_send_time{20000.0};
+// Keeps updates from growing old in the send buffer of a slow link.
+constexpr int send_buffer_bytes = 64 * 1024;
+// Composing a snapshot takes long with many targets, and many VMs request one
+// at the same time when they start or lose their watcher.
+constexpr milliseconds snapshot_lifetime{100.0};
 constexpr std::size_t max_subscribers = 1024;
 constexpr std::size_t max_subscription_bytes = 4096;
 // Reported as the age of the store's last response while the store's contents
@@ -121,6 +126,7 @@
                     store_revision revision)
     {
         const auto before = position();
+        snapshots_ = {};
         record_targets(log_, targets, revision);
         if (position().sequence_ != before.sequence_)
         {
@@ -131,6 +137,7 @@
     void publish_release(std::shared_ptr<const release> value)
     {
         const auto before = position();
+        snapshots_ = {};
         record_release(log_, std::move(value));
         notify(before);
     }
@@ -148,6 +155,13 @@
     }
 
 private:
+    // A message that several subscribers get.
+    struct shared_snapshot
+    {
+        shared_frame frame_;
+        milliseconds expires_at_;
+    };
+
     // One subscriber.
     class session : public std::enable_shared_from_this<session>
     {
@@ -162,6 +176,9 @@
         {
             error_code ignored;
             socket_.set_option(tcp::no_delay(true), ignored);
+            socket_.set_option(
+                asio::socket_base::send_buffer_size(send_buffer_bytes),
+                ignored);
             asio::async_read(socket_,
                              asio::buffer(header_),
                              [self = shared_from_this()](
@@ -174,34 +191,27 @@
         // Sends the update, which follows the position that all subscribers
         // have reached. A new subscriber instead gets all that it lacks once
         // this watcher has the complete state, and until then status reports.
+        // While an earlier message is being sent, the update is left out and
+        // its contents follow in a new message: one that waits in a queue would
+        // be old when it arrives.
         void notify(const shared_frame& update_frame)
         {
             if (!position_)
             {
                 return;
             }
-            if (is_up_to_date_)
+            if (frame_)
             {
-                send(update_frame);
+                miss_update();
                 return;
             }
-            is_up_to_date_ = owner_.has_complete_state();
-            send(is_up_to_date_ ? owner_.first_frame_since(*position_)
-                                : owner_.status_frame());
-        }
-
-        void send(const shared_frame& frame)
-        {
-            if (frames_.size() >= max_pending_frames)
+            if (is_up_to_date_)
             {
-                owner_.disconnect(shared_from_this());
+                position_ = owner_.position_of(*position_);
+                write(update_frame);
                 return;
             }
-            frames_.push_back(frame);
-            if (frames_.size() == 1)
-            {
-                write();
-            }
+            send_missing();
         }
 
         void close()
@@ -246,7 +256,7 @@
             }
             if (position->status_query_only_)
             {
-                send(owner_.status_frame());
+                write(owner_.status_frame());
             }
             else
             {
@@ -268,10 +278,38 @@
                                });
         }
 
-        void write()
+        void miss_update()
+        {
+            is_up_to_date_ = false;
+            missed_update_ = true;
+            if (monotonic_now() - send_began_at_ > max_send_time)
+            {
+                owner_.disconnect(shared_from_this());
+            }
+        }
+
+        // Sends what the subscriber lacks, or a status report while this
+        // watcher lacks it too.
+        void send_missing()
         {
+            missed_update_ = false;
+            is_up_to_date_ = owner_.has_complete_state();
+            if (!is_up_to_date_)
+            {
+                write(owner_.status_frame());
+                return;
+            }
+            auto frame = owner_.first_frame_since(*position_);
+            position_ = owner_.position_of(*position_);
+            write(std::move(frame));
+        }
+
+        void write(shared_frame frame)
+        {
+            frame_ = std::move(frame);
+            send_began_at_ = monotonic_now();
             asio::async_write(socket_,
-                              asio::buffer(*frames_.front()),
+                              asio::buffer(*frame_),
                               [self = shared_from_this()](
                                   const error_code& error, std::size_t)
                               {
@@ -286,10 +324,10 @@
                 owner_.disconnect(shared_from_this());
                 return;
             }
-            frames_.pop_front();
-            if (!frames_.empty())
+            frame_ = nullptr;
+            if (missed_update_)
             {
-                write();
+                send_missing();
             }
         }
 
@@ -297,9 +335,14 @@
         tcp::socket socket_;
         std::array<char, frame_header_bytes> header_{};
         std::string body_;
-        std::deque<shared_frame> frames_;
-        // The position that the subscriber has requested changes from; empty
-        // until its subscription has arrived, and for a status query.
+        // The message that is being sent; null if none is.
+        shared_frame frame_;
+        milliseconds send_began_at_;
+        // Whether an update was left out while it was being sent.
+        bool missed_update_ = false;
+        // The position that the messages sent so far lead to, at first the one
+        // that the subscriber has requested changes from; empty until its
+        // subscription has arrived, and for a status query.
         std::optional<replication_position> position_;
         // Whether the subscriber has been sent the complete state, so that the
         // updates that are sent to all subscribers apply to its state.
@@ -363,6 +406,7 @@
         if (standbys != standbys_)
         {
             standbys_ = std::move(standbys);
+            snapshots_ = {};
             broadcast(first_frame_since(position()));
         }
     }
@@ -376,25 +420,58 @@
                 {}};
     }
 
+    // Returns the position of a subscriber that was at the given one and has
+    // been sent all that it lacked.
+    replication_position
+    position_of(const replication_position& subscriber) const
+    {
+        auto result = position();
+        result.release_version_ =
+            std::max(result.release_version_, subscriber.release_version_);
+        result.peer_address_ = subscriber.peer_address_;
+        return result;
+    }
+
     shared_frame frame_since(const replication_position& since) const
     {
         return to_frame(update_since(log_, since));
     }
 
-    // Returns a frame that names the standbys too.
-    shared_frame first_frame_since(const replication_position& since) const
+    // Returns a frame that names the standbys too. Subscribers that need a
+    // snapshot share one until the contents change or it is too old.
+    shared_frame first_frame_since(const replication_position& since)
+    {
+        if (!needs_snapshot(log_, since))
+        {
+            return compose_first_frame(since, milliseconds(0.0));
+        }
+        const auto now = monotonic_now();
+        auto& shared = snapshots_[lacks_release(log_, since) ? 1 : 0];
+        if (!shared.frame_ || now >= shared.expires_at_)
+        {
+            shared.frame_ = compose_first_frame(since, snapshot_lifetime);
+            shared.expires_at_ = now + snapshot_lifetime;
+        }
+        return shared.frame_;
+    }
+
+    // Returns a frame that may be sent until the delay is over.
+    shared_frame compose_first_frame(const replication_position& since,
+                                     milliseconds delay) const
     {
         auto update = update_since(log_, since);
         if (appoints_standbys_)
         {
             update.standbys_ = standbys_;
         }
-        return to_frame(std::move(update));
+        return to_frame(std::move(update), delay);
     }
 
-    shared_frame to_frame(registry_update update) const
+    // Returns the frame of an update, which is sent within the delay.
+    shared_frame to_frame(registry_update update,
+                          milliseconds delay = milliseconds(0.0)) const
     {
-        update.store_response_age_ = measure_store_response_age_();
+        update.store_response_age_ = measure_store_response_age_() + delay;
         return std::make_shared<const std::string>(write_update(update));
     }
 
@@ -457,6 +534,9 @@
     tcp::acceptor acceptor_;
     asio::steady_timer timer_;
     registry_log log_;
+    // The last snapshots, without and with the release; none if the contents
+    // have changed since.
+    std::array<shared_snapshot, 2> snapshots_;
     std::set<std::shared_ptr<session>> sessions_;
 };
 
--- a/modules/av_replication/registry_subscriber.cpp
+++ b/modules/av_replication/registry_subscriber.cpp
@@ -1,5 +1,6 @@
 #include <av_replication/registry_subscriber.hpp>
 
+#include <av_core/monotonic_clock.hpp>
 #include <av_net/duration.hpp>
 #include <av_net/endpoint.hpp>
 #include <av_replication/replication_timing.hpp>
@@ -64,6 +65,11 @@
             });
     }
 
+    bool is_receiving_first_message() const
+    {
+        return !ended_ && is_first_message_ && !body_.empty();
+    }
+
     void stop()
     {
         ended_ = true;
@@ -81,6 +87,7 @@
         }
         error_code ignored;
         socket_.set_option(tcp::no_delay(true), ignored);
+        message_began_at_ = monotonic_now();
         asio::async_write(
             socket_,
             asio::buffer(subscription_),
@@ -117,28 +124,52 @@
             end("a message exceeds the size limit");
             return;
         }
+        if (!is_first_message_)
+        {
+            message_began_at_ = monotonic_now();
+        }
         body_.resize(length);
         asio::async_read(
             socket_,
             asio::buffer(body_),
+            [self = shared_from_this()](const error_code& failure,
+                                        std::size_t received)
+            {
+                return self->bytes_to_read(failure, received);
+            },
             [self = shared_from_this()](const error_code& failure, std::size_t)
             {
                 self->on_body(failure);
             });
     }
 
+    // Called as parts of a message arrive. The first one is a snapshot, which
+    // may be large: requested anew from another watcher, it would take as long
+    // again. Later ones must be complete within the time limit, because the
+    // changes that follow wait behind them.
+    std::size_t bytes_to_read(const error_code& error, std::size_t received)
+    {
+        if (!ended_ && !error && is_first_message_ && received > 0)
+        {
+            restart_timeout(watcher_timeout);
+        }
+        return asio::transfer_all()(error, received);
+    }
+
     void on_body(const error_code& error)
     {
         if (end_on_error(error, "the connection ended"))
         {
             return;
         }
-        const auto update = read_update(body_, defaults_);
+        auto update = read_update(body_, defaults_);
         if (!update.ok())
         {
             end(std::string(update.status().message()));
             return;
         }
+        update->transfer_time_ = monotonic_now() - message_began_at_;
+        is_first_message_ = false;
         if (!handlers_.on_update_(*update))
         {
             end("the update is outdated");
@@ -194,6 +225,10 @@
     std::string subscription_;
     std::array<char, frame_header_bytes> header_{};
     std::string body_;
+    bool is_first_message_ = true;
+    // When the message that is being received was requested, or began to
+    // arrive.
+    milliseconds message_began_at_;
     bool ended_ = false;
 };
 
@@ -216,4 +251,9 @@
     implementation_->start(address, position);
 }
 
+bool registry_subscriber::is_receiving_first_message() const
+{
+    return implementation_->is_receiving_first_message();
+}
+
 } // namespace anvilturn
--- a/modules/av_replication/registry_subscriber.hpp
+++ b/modules/av_replication/registry_subscriber.hpp
@@ -47,6 +47,9 @@
     void start(const std::string& address,
                const replication_position& position);
 
+    // Returns whether a part of the first message has arrived, but not all.
+    bool is_receiving_first_message() const;
+
 private:
     class implementation;
     std::shared_ptr<implementation> implementation_;
--- a/modules/av_replication/registry_update.hpp
+++ b/modules/av_replication/registry_update.hpp
@@ -43,8 +43,11 @@
     std::string failure_domain_;
     // Revision of the store up to which the watcher knows the targets.
     store_revision store_revision_ = 0;
-    // Time since the store last answered the watcher.
+    // Time since the store last answered the watcher, when it composed the
+    // message.
     milliseconds store_response_age_;
+    // How long the message took to arrive; zero at the watcher.
+    milliseconds transfer_time_;
     std::vector<target_change> changes_;
     // Null unless it is newer than the release of the receiver.
     std::shared_ptr<const release> release_;
