--- a/benches/bare_relay/main.cpp
+++ b/benches/bare_relay/main.cpp
@@ -147,7 +147,8 @@
     for (const auto address : absl::StrSplit(targets, ','))
     {
         pools.push_back(
-            {anvilturn::require_endpoint({address.data(), address.size()}), {}});
+            {anvilturn::require_endpoint({address.data(), address.size()}),
+             {}});
     }
     relay request_relay(context, std::move(pools));
     const anvilturn::http_server server(
--- a/benches/call_load/main.cpp
+++ b/benches/call_load/main.cpp
@@ -66,7 +66,8 @@
     endpoints result;
     for (const auto part : absl::StrSplit(list, ',', absl::SkipEmpty()))
     {
-        result.push_back(anvilturn::require_endpoint({part.data(), part.size()}));
+        result.push_back(
+            anvilturn::require_endpoint({part.data(), part.size()}));
     }
     return result;
 }
--- a/modules/av_replication/registry_publisher.cpp
+++ b/modules/av_replication/registry_publisher.cpp
@@ -8,6 +8,7 @@
 #include <av_registry/watcher_choice.hpp>
 #include <av_replication/replication_timing.hpp>
 #include <av_replication/update_codec.hpp>
+#include <av_replication/update_composer.hpp>
 
 #include <absl/algorithm/container.h>
 #include <boost/asio/io_context.hpp>
@@ -16,10 +17,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
-#include <algorithm>
 #include <array>
 #include <optional>
-#include <random>
 #include <set>
 #include <sstream>
 #include <utility>
@@ -34,27 +33,12 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-using shared_frame = std::shared_ptr<const std::string>;
-
 // A subscriber that takes longer to read a message is disconnected.
 constexpr milliseconds max_send_time{20000.0};
 // Keeps updates from growing old in the send buffer of a slow link.
 constexpr int send_buffer_bytes = 64 * 1024;
-// Composing a snapshot takes long with many targets, and many VMs request one
-// at the same time when they start or lose their watcher.
-constexpr milliseconds snapshot_lifetime{100.0};
 constexpr std::size_t max_subscribers = 1024;
 constexpr std::size_t max_subscription_bytes = 4096;
-// Reported as the age of the store's last response while the store's contents
-// are not completely known, so that subscribers don't rely on this watcher.
-constexpr milliseconds no_store_response_age{1e9};
-
-std::uint64_t random_epoch()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32U | device()) | 1U;
-}
-
 } // namespace
 
 class registry_publisher::implementation
@@ -67,12 +51,14 @@
                    std::function<milliseconds()> store_response_age)
         : context_(context)
         , appoints_standbys_(appoints_standbys)
-        , measure_store_response_age_(std::move(store_response_age))
+        , composer_(failure_domain, std::move(store_response_age))
         , acceptor_(context)
         , timer_(context)
     {
-        log_.epoch_ = random_epoch();
-        log_.failure_domain_ = failure_domain;
+        if (appoints_standbys_)
+        {
+            composer_.set_standbys({});
+        }
     }
 
     absl::Status start(const std::string& address)
@@ -125,10 +111,9 @@
     publish_targets(const std::map<std::string, registered_target>& targets,
                     store_revision revision)
     {
-        const auto before = position();
-        snapshots_ = {};
-        record_targets(log_, targets, revision);
-        if (position().sequence_ != before.sequence_)
+        const auto before = composer_.position();
+        composer_.set_targets(targets, revision);
+        if (composer_.position().sequence_ != before.sequence_)
         {
             notify(before);
         }
@@ -136,9 +121,8 @@
 
     void publish_release(std::shared_ptr<const release> value)
     {
-        const auto before = position();
-        snapshots_ = {};
-        record_release(log_, std::move(value));
+        const auto before = composer_.position();
+        composer_.set_release(std::move(value));
         notify(before);
     }
 
@@ -155,13 +139,6 @@
     }
 
 private:
-    // A message that several subscribers get.
-    struct shared_snapshot
-    {
-        shared_frame frame_;
-        milliseconds expires_at_;
-    };
-
     // One subscriber.
     class session : public std::enable_shared_from_this<session>
     {
@@ -207,7 +184,7 @@
             }
             if (is_up_to_date_)
             {
-                position_ = owner_.position_of(*position_);
+                position_ = owner_.composer_.position_after_update(*position_);
                 write(update_frame);
                 return;
             }
@@ -256,7 +233,7 @@
             }
             if (position->status_query_only_)
             {
-                write(owner_.status_frame());
+                write(owner_.composer_.status_report());
             }
             else
             {
@@ -293,14 +270,14 @@
         void send_missing()
         {
             missed_update_ = false;
-            is_up_to_date_ = owner_.has_complete_state();
+            is_up_to_date_ = owner_.composer_.has_complete_state();
             if (!is_up_to_date_)
             {
-                write(owner_.status_frame());
+                write(owner_.composer_.status_report());
                 return;
             }
-            auto frame = owner_.first_frame_since(*position_);
-            position_ = owner_.position_of(*position_);
+            auto frame = owner_.composer_.first_update_since(*position_);
+            position_ = owner_.composer_.position_after_update(*position_);
             write(std::move(frame));
         }
 
@@ -406,100 +383,18 @@
         if (standbys != standbys_)
         {
             standbys_ = std::move(standbys);
-            snapshots_ = {};
-            broadcast(first_frame_since(position()));
+            composer_.set_standbys(standbys_);
+            broadcast(composer_.first_update_since(composer_.position()));
         }
     }
 
-    replication_position position() const
-    {
-        return {log_.epoch_,
-                log_.sequence_,
-                log_.release_ ? log_.release_->version_ : 0,
-                false,
-                {}};
-    }
-
-    // Returns the position of a subscriber that was at the given one and has
-    // been sent all that it lacked.
-    replication_position
-    position_of(const replication_position& subscriber) const
-    {
-        auto result = position();
-        result.release_version_ =
-            std::max(result.release_version_, subscriber.release_version_);
-        result.peer_address_ = subscriber.peer_address_;
-        return result;
-    }
-
-    shared_frame frame_since(const replication_position& since) const
-    {
-        return to_frame(update_since(log_, since));
-    }
-
-    // Returns a frame that names the standbys too. Subscribers that need a
-    // snapshot share one until the contents change or it is too old.
-    shared_frame first_frame_since(const replication_position& since)
-    {
-        if (!needs_snapshot(log_, since))
-        {
-            return compose_first_frame(since, milliseconds(0.0));
-        }
-        const auto now = monotonic_now();
-        auto& shared = snapshots_[lacks_release(log_, since) ? 1 : 0];
-        if (!shared.frame_ || now >= shared.expires_at_)
-        {
-            shared.frame_ = compose_first_frame(since, snapshot_lifetime);
-            shared.expires_at_ = now + snapshot_lifetime;
-        }
-        return shared.frame_;
-    }
-
-    // Returns a frame that may be sent until the delay is over.
-    shared_frame compose_first_frame(const replication_position& since,
-                                     milliseconds delay) const
-    {
-        auto update = update_since(log_, since);
-        if (appoints_standbys_)
-        {
-            update.standbys_ = standbys_;
-        }
-        return to_frame(std::move(update), delay);
-    }
-
-    // Returns the frame of an update, which is sent within the delay.
-    shared_frame to_frame(registry_update update,
-                          milliseconds delay = milliseconds(0.0)) const
-    {
-        update.store_response_age_ = measure_store_response_age_() + delay;
-        return std::make_shared<const std::string>(write_update(update));
-    }
-
-    // Returns whether a release and a listing of the targets are known.
-    bool has_complete_state() const
-    {
-        return log_.release_ && log_.store_revision_ > 0;
-    }
-
-    // Returns a status report: this VM's failure domain and the age of the
-    // store's last response, without contents.
-    shared_frame status_frame() const
-    {
-        registry_update update;
-        update.failure_domain_ = log_.failure_domain_;
-        update.store_response_age_ = has_complete_state()
-                                         ? measure_store_response_age_()
-                                         : no_store_response_age;
-        return std::make_shared<const std::string>(write_update(update));
-    }
-
     // Sends what follows the position to all subscribers. One update serves
     // them all, since each has reached the same position after its first one.
     void notify(const replication_position& since)
     {
         if (!sessions_.empty())
         {
-            broadcast(frame_since(since));
+            broadcast(composer_.update_since(since));
         }
     }
 
@@ -522,7 +417,7 @@
                 if (!error && self)
                 {
                     self->schedule_heartbeat();
-                    self->notify(self->position());
+                    self->notify(self->composer_.position());
                 }
             });
     }
@@ -530,13 +425,9 @@
     asio::io_context& context_;
     const bool appoints_standbys_;
     std::vector<std::string> standbys_;
-    std::function<milliseconds()> measure_store_response_age_;
+    update_composer composer_;
     tcp::acceptor acceptor_;
     asio::steady_timer timer_;
-    registry_log log_;
-    // The last snapshots, without and with the release; none if the contents
-    // have changed since.
-    std::array<shared_snapshot, 2> snapshots_;
     std::set<std::shared_ptr<session>> sessions_;
 };
 
