Begin no request once its caller has gone

When a caller has sent more requests than run at once and closes, the VM may learn of it by writing a later response: the connection closes, which ends all its calls, but the loop that parses requests went on and began the next one. That call was owned by the closed connection and its attempt still pointed at it after both were freed. It needs a caller that closes while the VM writes to it, but then any VM could crash; the sanitizer showed it once. Change: the loop ends with the connection. Found by reading for the same pattern: refuse_expired went on to dispatch calls that refusing an earlier one had ended; it now skips them (no test of its own).

--- a/modules/av_proxy/caller_connection.cpp
+++ b/modules/av_proxy/caller_connection.cpp
@@ -305,8 +305,8 @@
 }
 
 // Ends the first exchange, whose response is complete, and continues with the
-// next one. Returns false if the connection ends, or if the response was not
-// sent completely yet.
+// next one. Returns false if the connection ends or has ended, or if the
+// response was not sent completely yet.
 bool caller_connection::continue_with_next()
 {
     if (exchanges_.first().ends_connection() || output_.unsent_bytes() > 0)
@@ -314,8 +314,8 @@
         return false;
     }
     last_activity_at_ = worker_.now();
-    exchanges_.end_first();
-    return true;
+    exchanges_.end_first(); // Sends what the next response has so far.
+    return !closed_;
 }
 
 // Returns how much input may be read now, in bytes. Some is read although it
--- a/modules/av_proxy/tests/pipelining_test.cpp
+++ b/modules/av_proxy/tests/pipelining_test.cpp
@@ -274,6 +274,48 @@
     BOOST_TEST(requested_name(running.at("a")->read_header()) == "e");
 }
 
+// The VM learns that the caller has gone by writing the second response to it;
+// its thread is held up while the caller closes. A call that began after that
+// would outlive the connection that owns it.
+BOOST_AUTO_TEST_CASE(no_request_begins_once_the_caller_has_gone)
+{
+    std::promise<void> gate;
+    scripted_target target;
+    relay vm(make_release({target.address()}),
+             single_thread_settings(),
+             gate.get_future().share());
+    auto caller = vm.call();
+    std::string requests;
+    for (const char* name : {"a", "b", "c", "d", "e"})
+    {
+        requests += look_up(name);
+    }
+    caller.send(requests);
+    auto running = accept_requests(target, 4);
+    for (const char* name : {"b", "c", "d"})
+    {
+        running.at(name)->send(ok("held"));
+    }
+    wait_until(
+        [&vm]
+        {
+            return vm.path().statistics().calls_in_flight_ == 1;
+        });
+    running.at("a")->send(ok("first", "Anvilturn-Draining: 1\r\n"));
+    vm.notice();
+    caller.close();
+    gate.set_value();
+    wait_until(
+        [&vm]
+        {
+            return vm.path().statistics().caller_connections_ == 0;
+        });
+    const auto statistics = vm.path().statistics();
+    BOOST_TEST(statistics.answered_ == 4U);
+    BOOST_TEST(statistics.not_run_ == 0U);
+    BOOST_TEST(statistics.unknown_ == 0U);
+}
+
 // What waits for an earlier response takes memory, so the VM stops reading a
 // later response that is large, and begins no further requests behind it.
 BOOST_AUTO_TEST_CASE(a_large_response_that_waits_is_read_only_in_part)
--- a/modules/av_proxy/worker_queue.cpp
+++ b/modules/av_proxy/worker_queue.cpp
@@ -415,7 +415,8 @@
     }
     for (const auto& call : expired)
     {
-        if (!dispatch_expired(*call))
+        // Refusing one may have shown that the caller of others has gone.
+        if (call->is_active() && !dispatch_expired(*call))
         {
             call->refuse(error_kind::deadline_unreachable);
         }
