--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -440,7 +440,7 @@
     bool awaits_first_snapshot() const
     {
         return replica_.revision() == 0 && client_ &&
-               client_->is_receiving_first_message() &&
+               client_->is_receiving_contents() &&
                monotonic_now() - started_at_ < max_snapshot_wait_at_startup;
     }
 
--- a/modules/av_replication/registry_subscriber.cpp
+++ b/modules/av_replication/registry_subscriber.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <optional>
 #include <utility>
 
 namespace anvilturn
@@ -65,9 +66,9 @@
             });
     }
 
-    bool is_receiving_first_message() const
+    bool is_receiving_contents() const
     {
-        return !ended_ && is_first_message_ && !body_.empty();
+        return !ended_ && awaits_contents_ && !body_.empty();
     }
 
     void stop()
@@ -124,7 +125,7 @@
             end("a message exceeds the size limit");
             return;
         }
-        if (!is_first_message_)
+        if (!message_began_at_)
         {
             message_began_at_ = monotonic_now();
         }
@@ -143,13 +144,13 @@
             });
     }
 
-    // Called as parts of a message arrive. The first one is a snapshot, which
-    // may be large: requested anew from another watcher, it would take as long
-    // again. Later ones must be complete within the time limit, because the
-    // changes that follow wait behind them.
+    // Called as parts of a message arrive. The first one with contents may be a
+    // large snapshot: requested anew from another watcher, it would take as
+    // long again. Later ones must be complete within the time limit, because
+    // the changes that follow wait behind them.
     std::size_t bytes_to_read(const error_code& error, std::size_t received)
     {
-        if (!ended_ && !error && is_first_message_ && received > 0)
+        if (!ended_ && !error && awaits_contents_ && received > 0)
         {
             restart_timeout(watcher_timeout);
         }
@@ -168,8 +169,11 @@
             end(std::string(update.status().message()));
             return;
         }
-        update->transfer_time_ = monotonic_now() - message_began_at_;
-        is_first_message_ = false;
+        body_.clear();
+        update->transfer_time_ = monotonic_now() - *message_began_at_;
+        message_began_at_.reset();
+        // A watcher that is not ready sends status reports first.
+        awaits_contents_ = awaits_contents_ && update->epoch_ == 0;
         if (!handlers_.on_update_(*update))
         {
             end("the update is outdated");
@@ -225,10 +229,10 @@
     std::string subscription_;
     std::array<char, frame_header_bytes> header_{};
     std::string body_;
-    bool is_first_message_ = true;
+    bool awaits_contents_ = true;
     // When the message that is being received was requested, or began to
-    // arrive.
-    milliseconds message_began_at_;
+    // arrive; empty between two messages.
+    std::optional<milliseconds> message_began_at_;
     bool ended_ = false;
 };
 
@@ -251,9 +255,9 @@
     implementation_->start(address, position);
 }
 
-bool registry_subscriber::is_receiving_first_message() const
+bool registry_subscriber::is_receiving_contents() const
 {
-    return implementation_->is_receiving_first_message();
+    return implementation_->is_receiving_contents();
 }
 
 } // namespace anvilturn
--- a/modules/av_replication/registry_subscriber.hpp
+++ b/modules/av_replication/registry_subscriber.hpp
@@ -47,8 +47,9 @@
     void start(const std::string& address,
                const replication_position& position);
 
-    // Returns whether a part of the first message has arrived, but not all.
-    bool is_receiving_first_message() const;
+    // Returns whether a part of the first message with contents has arrived,
+    // but not all.
+    bool is_receiving_contents() const;
 
 private:
     class implementation;
