--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -26,7 +26,9 @@
 
 import template  # noqa: E402
 
-HOST = "127.0.0.1"
+# A loopback address of its own, so that scripts that run side by side don't
+# take each other's ports.
+HOST = ".".join(["127", *(str(random.randint(2, 250)) for _ in range(3))])
 READY_S = 20.0
 SETTINGS_PATH = "/etc/anvilturn/settings.yaml"
 # Whether the disruption takes place; the same run without it must pass.
