--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -93,6 +93,9 @@
         self.port = int(free_address().rsplit(":", 1)[1])
         self._folder = folder
         self.process: subprocess.Popen | None = None
+        # Whether a process of its own collects the log, by a pipe.
+        self.has_collector = False
+        self.collector: subprocess.Popen | None = None
 
     def start(self, store: str, seeds: list[str], bounds: dict) -> None:
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
@@ -109,11 +112,18 @@
             (ROOT / role["template"]).read_text(), [fields]))
         command = role["run"].replace(SETTINGS_PATH, str(settings)).split()
         with (self._folder / f"{self.name}.log").open("ab") as log:
+            output = log
+            if self.has_collector:
+                self.collector = subprocess.Popen(
+                    ["cat"], stdin=subprocess.PIPE, stdout=log)
+                output = self.collector.stdin
             self.process = subprocess.Popen(
-                command, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log,
-                stderr=log,
+                command, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=output,
+                stderr=output,
                 env={"PATH": os.environ.get("PATH", ""),
                      "ANVILTURN_NODE_FILE": str(settings)})
+            if self.has_collector:
+                output.close()
 
     async def is_ready(self) -> bool:
         try:
@@ -124,10 +134,11 @@
             return False
 
     def stop(self) -> None:
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(signal.SIGCONT)
-            self.process.kill()
-            self.process.wait()
+        for process in (self.process, self.collector):
+            if process is not None and process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                process.wait()
 
 
 @dataclasses.dataclass
