Link sanitizer builds on arm64 with the compiler's default linker

Change: mold is used where it works; not for a sanitizer's build on arm64. The configuration prints the linker. x86-64 keeps mold for all builds.

--- a/cmake/toolchain_defaults.cmake
+++ b/cmake/toolchain_defaults.cmake
@@ -21,10 +21,6 @@
       ${CMAKE_COMMAND} -E env CCACHE_NOHASHDIR=1
       CCACHE_BASEDIR=${CMAKE_SOURCE_DIR} ${CCACHE_PROGRAM})
 endif()
-find_program(MOLD_PROGRAM mold)
-if(MOLD_PROGRAM)
-  add_link_options(-fuse-ld=mold)
-endif()
 
 add_compile_options(-Wall -Wextra -Wpedantic -Werror -fno-semantic-interposition)
 # Debug information for stack traces only: full debug information triples the
@@ -32,6 +28,21 @@
 add_compile_options(-g1)
 
 set(ANVILTURN_SANITIZE "" CACHE STRING "Sanitizers: address,undefined or thread")
+
+# mold 1.10 aborts on arm64 when it links the large library of a sanitizer's
+# build (an assertion in its range extension thunks).
+set(ANVILTURN_IS_ARM64 FALSE)
+if(CMAKE_SYSTEM_PROCESSOR MATCHES "^(aarch64|arm64)$")
+  set(ANVILTURN_IS_ARM64 TRUE)
+endif()
+find_program(MOLD_PROGRAM mold)
+if(MOLD_PROGRAM AND NOT (ANVILTURN_IS_ARM64 AND ANVILTURN_SANITIZE))
+  message(STATUS "Linker: mold")
+  add_link_options(-fuse-ld=mold)
+else()
+  message(STATUS "Linker: the compiler's default")
+endif()
+
 if(ANVILTURN_SANITIZE)
   add_compile_options(-fsanitize=${ANVILTURN_SANITIZE} -fno-omit-frame-pointer)
   add_link_options(-fsanitize=${ANVILTURN_SANITIZE})
