Treat calls of one rule alike whatever their deadlines

What callers saw: a call whose deadline was shorter than the longest one seen of its rule was taken for a repeat of a refused call. It waited until another time, and could be refused where a call beside it was not.

Cause: time_of_earlier_attempts guessed from other callers' deadlines how long ago a caller had begun.

Change: the guess and all that read it are gone.

Evidence: av_proxy/calls_with_other_deadlines_of_a_rule_are_treated_alike failed before (one call refused at once, the other not) and passes now. A property of queue_wait_deadline on the old code, that the time of earlier attempts does not matter, was falsified after 2 tests (0.9 against 1 ms at a deadline of 3 ms).

--- a/modules/av_limits/queue_wait_limit.cpp
+++ b/modules/av_limits/queue_wait_limit.cpp
@@ -9,12 +9,9 @@
 
 // Minimum wait as a fraction of the latency objective.
 constexpr double min_wait_share = 0.125;
-// Fraction of its remaining time that a late call waits before it is refused
-// with Retry-After.
-constexpr double late_retry_wait_share = 0.3;
-// Deadlines that differ by less than this fraction count as those of first
-// attempts.
-constexpr double deadline_tolerance = 0.03;
+// Fraction of its remaining time that a call waits which was pending until its
+// VM had its configuration for longer than the objective.
+constexpr double late_start_wait_share = 0.3;
 // Callers wait for at most a third of the time that they have left.
 constexpr double max_retry_after_share = 1.0 / 3.0;
 constexpr double min_retry_after_share = 0.1;
@@ -24,14 +21,6 @@
 
 } // namespace
 
-milliseconds time_of_earlier_attempts(milliseconds longest_deadline,
-                                      milliseconds deadline) noexcept
-{
-    const auto earlier_time = longest_deadline - deadline;
-    const bool is_first = earlier_time <= longest_deadline * deadline_tolerance;
-    return is_first ? milliseconds(0.0) : earlier_time;
-}
-
 milliseconds queue_wait_deadline(const wait_limit_input& input) noexcept
 {
     const auto latest = input.deadline_ - input.typical_time_;
@@ -40,15 +29,12 @@
         return latest;
     }
     const auto objective_wait_end =
-        input.arrived_ - input.earlier_attempts_time_ +
-        input.latency_objective_ - input.typical_time_;
+        input.arrived_ + input.latency_objective_ - input.typical_time_;
     const auto startup_wait_time = input.began_ - input.arrived_;
-    const bool is_late_retry = input.earlier_attempts_time_.count() > 0.0 &&
-                               objective_wait_end <= input.arrived_;
-    if (is_late_retry || startup_wait_time >= input.latency_objective_)
+    if (startup_wait_time >= input.latency_objective_)
     {
         const auto left = input.deadline_ - input.began_;
-        return std::min(latest, input.began_ + left * late_retry_wait_share);
+        return std::min(latest, input.began_ + left * late_start_wait_share);
     }
     const auto min_wait_end =
         input.began_ + input.latency_objective_ * min_wait_share;
--- a/modules/av_limits/queue_wait_limit.hpp
+++ b/modules/av_limits/queue_wait_limit.hpp
@@ -17,19 +17,11 @@
     milliseconds deadline_;
     // The latency objective of its rule; zero if there is none.
     milliseconds latency_objective_{0.0};
-    // Time that the caller has spent on its own earlier attempts.
-    milliseconds earlier_attempts_time_{0.0};
     // Time that the wait must leave for the call at a target: the typical time
     // of the service's calls, or a high quantile of it.
     milliseconds typical_time_{0.0};
 };
 
-// Returns how long ago the caller started with this call. Callers that retry
-// after a refusal send a shorter deadline than those that make a first attempt,
-// whose deadline is the longest that was seen.
-milliseconds time_of_earlier_attempts(milliseconds longest_deadline,
-                                      milliseconds deadline) noexcept;
-
 // Returns the time until which the call waits for a target. With a latency
 // objective the call is refused once it would miss the objective, so that the
 // caller learns early when to retry; it waits for a small part of the objective
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -76,10 +76,6 @@
     {
         allowed = std::min(allowed, rule_->timeout_);
     }
-    earlier_attempts_time_ =
-        head.deadline_
-            ? worker_.time_of_earlier_attempts(rule_->name_, *head.deadline_)
-            : milliseconds(0.0);
     deadline_ = started_at_ + allowed;
     if (head.expects_continue_)
     {
@@ -341,7 +337,6 @@
     input.began_ = wait_began_at_;
     input.deadline_ = deadline_;
     input.latency_objective_ = latency_objective_;
-    input.earlier_attempts_time_ = earlier_attempts_time_;
     input.typical_time_ = typical_time_;
     return input;
 }
@@ -349,10 +344,7 @@
 milliseconds proxied_call::objective_left(milliseconds now) const
 {
     const bool has_objective = latency_objective_.count() > 0.0;
-    return (has_objective
-                ? started_at_ - earlier_attempts_time_ + latency_objective_
-                : deadline_) -
-           now;
+    return (has_objective ? started_at_ + latency_objective_ : deadline_) - now;
 }
 
 double proxied_call::wait_limit_spent(milliseconds now) const
@@ -466,7 +458,6 @@
     buffers_response_ = false;
     attempts_ = 0;
     possible_runs_ = 0;
-    earlier_attempts_time_ = milliseconds(0.0);
     latency_objective_ = milliseconds(0.0);
     typical_time_ = milliseconds(0.0);
     excluded_.clear();
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -174,7 +174,6 @@
     milliseconds wait_began_at_;
     milliseconds wait_deadline_;
     milliseconds latency_objective_;
-    milliseconds earlier_attempts_time_;
     milliseconds typical_time_;
     bool idempotent_ = false;
     int max_attempts_ = 0;
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -134,12 +134,6 @@
     // dispatched first, then those of other threads.
     void on_slot_freed(const std::shared_ptr<service_state>& service);
 
-    // Returns how long ago the caller began with a call of this deadline: a
-    // caller that retries sends a shorter deadline than the longest one seen of
-    // the rule.
-    milliseconds time_of_earlier_attempts(const std::string& rule,
-                                          milliseconds deadline);
-
     // A load query to a target of the service ended, with or without a
     // response.
     void on_load_query_ended(const std::string& service);
@@ -235,8 +229,6 @@
     // which this VM starts in the split.
     absl::flat_hash_map<std::string, std::uint64_t> split_calls_;
     double split_phase_;
-    // The longest deadline seen so far for each rule.
-    absl::flat_hash_map<std::string, milliseconds> longest_deadlines_;
     load_query_sender load_query_sender_;
     bool finished_ = false;
     unsigned ticks_ = 0;
--- a/modules/av_proxy/worker_queue.cpp
+++ b/modules/av_proxy/worker_queue.cpp
@@ -71,14 +71,6 @@
     return rule.split_[part].service_;
 }
 
-milliseconds worker::time_of_earlier_attempts(const std::string& rule,
-                                              milliseconds deadline)
-{
-    auto& longest = longest_deadlines_[rule];
-    longest = std::max(longest, deadline);
-    return anvilturn::time_of_earlier_attempts(longest, deadline);
-}
-
 void worker::on_load_query_ended(const std::string& service)
 {
     const auto found = worker_states_.find(service);
