Let a call wait until the last moment at which it can be answered

What callers saw: 503 although a target could still have answered within their deadline. A call with a latency objective was refused once it would miss the objective, after an eighth of it at least, or after 0.3 of its time left when it had been pending at start-up.

Cause: queue_wait_deadline derived the wait from the objective. An answer after the objective and before the deadline is still worth having to its caller.

Change: a call waits until latest_start, its deadline less the time that the work takes.

Now admission_suite/latest_start_leaves_the_work_time_before_the_deadline and waiting_suite/call_that_missed_its_latency_objective_still_waits pass.

--- a/modules/av_limits/admission.cpp
+++ b/modules/av_limits/admission.cpp
@@ -28,6 +28,12 @@
     return rate;
 }
 
+milliseconds latest_start(milliseconds deadline,
+                          milliseconds work_time) noexcept
+{
+    return deadline - work_time;
+}
+
 milliseconds expected_wait(const drain_rate& rate,
                            std::size_t calls_ahead) noexcept
 {
--- a/modules/av_limits/admission.hpp
+++ b/modules/av_limits/admission.hpp
@@ -37,6 +37,13 @@
     milliseconds p95_latency_{0.0};
 };
 
+// Returns the latest point in time at which a call that needs the work time can
+// start and still be answered before its deadline. A waiting call is refused
+// then, since an answer is worth having to its caller until the deadline and
+// not later.
+milliseconds latest_start(milliseconds deadline,
+                          milliseconds work_time) noexcept;
+
 // Returns the expected time in the queue for a call with so many calls ahead of
 // it.
 milliseconds expected_wait(const drain_rate& rate,
--- a/modules/av_limits/av_limits.hpp
+++ b/modules/av_limits/av_limits.hpp
@@ -14,7 +14,7 @@
 #include <av_limits/hedging.hpp>
 #include <av_limits/latency_quantile.hpp>
 #include <av_limits/load_profile.hpp>
-#include <av_limits/queue_wait_limit.hpp>
+#include <av_limits/retry_after.hpp>
 #include <av_limits/retry_budget.hpp>
 #include <av_limits/retry_decision.hpp>
 #include <av_limits/startup_wait.hpp>
--- a/modules/av_limits/tests/admission_test.cpp
+++ b/modules/av_limits/tests/admission_test.cpp
@@ -74,6 +74,15 @@
     BOOST_TEST(can_meet_deadline(drain_rate{}, {100, milliseconds(1.0), {}}));
 }
 
+// A call is refused only once it could not be answered before its deadline.
+RC_BOOST_PROP(latest_start_leaves_the_work_time_before_the_deadline, ())
+{
+    const milliseconds deadline(*rc::gen::inRange(0, 20000));
+    const milliseconds work_time(*rc::gen::inRange(0, 5000));
+    const auto start = latest_start(deadline, work_time);
+    RC_ASSERT(start + work_time == deadline);
+}
+
 RC_BOOST_PROP(estimate_converges_to_the_quantile, ())
 {
     const int scale = *rc::gen::inRange(1, 100);
--- a/modules/av_limits/tests/call_queue_test.cpp
+++ b/modules/av_limits/tests/call_queue_test.cpp
@@ -119,6 +119,21 @@
     BOOST_TEST(queue.size_ahead_of(bulk) == 3u);
 }
 
+BOOST_AUTO_TEST_CASE(peek_returns_the_call_that_pop_removes)
+{
+    call_queue<int> queue(100);
+    BOOST_TEST(queue.peek() == nullptr);
+    for (int i = 0; i < 60; ++i)
+    {
+        queue.push(i, static_cast<traffic_class>(i % 3), milliseconds(1.0));
+    }
+    while (!queue.empty())
+    {
+        const int next = *queue.peek();
+        BOOST_TEST(*queue.pop() == next);
+    }
+}
+
 // Compares the queue with a map of the waiting calls as the reference model:
 // every call leaves exactly once, by pop, displace, withdraw or take_expired.
 RC_BOOST_PROP(every_call_leaves_exactly_once, ())
--- a/modules/av_limits/tests/retry_budget_test.cpp
+++ b/modules/av_limits/tests/retry_budget_test.cpp
@@ -138,4 +138,30 @@
     BOOST_TEST(!may_hedge_now(input, retry_budget{1.0}));
 }
 
+// Many failures at many VMs: all extra attempts together stay within the ratio
+// plus the sum of the bursts, whatever the number of VMs.
+BOOST_AUTO_TEST_CASE(extra_attempts_of_all_vms_stay_within_ratio_and_bursts)
+{
+    constexpr int vms = 24;
+    constexpr int calls = 100;
+    constexpr double ratio = 0.2;
+    constexpr double burst = 1.5;
+    int extra = 0;
+    for (int vm = 0; vm < vms; ++vm)
+    {
+        retry_budget budget;
+        for (int call = 0; call < calls; ++call)
+        {
+            budget = after_first_attempt(budget, ratio, 0, burst);
+            while (allows_extra_attempt(budget))
+            {
+                budget = after_extra_attempt(budget);
+                ++extra;
+            }
+        }
+    }
+    BOOST_TEST(extra <= vms * (calls * ratio + burst));
+    BOOST_TEST(extra >= vms * (calls * ratio - 1.0));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -1,7 +1,7 @@
 #include <av_proxy/proxied_call.hpp>
 
 #include <av_http/message_writer.hpp>
-#include <av_limits/queue_wait_limit.hpp>
+#include <av_limits/admission.hpp>
 #include <av_limits/startup_wait.hpp>
 #include <av_proxy/worker.hpp>
 
@@ -325,22 +325,11 @@
 {
     typical_time_ = typical_time;
     wait_began_at_ = worker_.now();
-    wait_deadline_ = queue_wait_deadline(make_wait_input());
+    wait_deadline_ = latest_start(deadline_, typical_time);
     link_.update_timer();
     return wait_deadline_;
 }
 
-wait_limit_input proxied_call::make_wait_input() const
-{
-    wait_limit_input input;
-    input.arrived_ = started_at_;
-    input.began_ = wait_began_at_;
-    input.deadline_ = deadline_;
-    input.latency_objective_ = latency_objective_;
-    input.typical_time_ = typical_time_;
-    return input;
-}
-
 milliseconds proxied_call::objective_left(milliseconds now) const
 {
     const bool has_objective = latency_objective_.count() > 0.0;
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -8,7 +8,6 @@
 #include <av_core/milliseconds.hpp>
 #include <av_http/request_head.hpp>
 #include <av_limits/call_queue.hpp>
-#include <av_limits/queue_wait_limit.hpp>
 #include <av_model/call_outcome.hpp>
 #include <av_proxy/attempt_observer.hpp>
 #include <av_proxy/caller_link.hpp>
@@ -118,7 +117,6 @@
     bool await_configuration();
     std::optional<error_kind> find_service();
     bool lacks_configuration() const;
-    wait_limit_input make_wait_input() const;
     bool answer_local_path();
     void answer_readiness_check();
     void route_call();
--- a/modules/av_proxy/proxied_call_end.cpp
+++ b/modules/av_proxy/proxied_call_end.cpp
@@ -5,7 +5,7 @@
 
 #include <av_core/log_event.hpp>
 #include <av_http/message_writer.hpp>
-#include <av_limits/queue_wait_limit.hpp>
+#include <av_limits/retry_after.hpp>
 #include <av_model/call_outcome.hpp>
 #include <av_proxy/response_status.hpp>
 #include <av_proxy/worker.hpp>
--- a/modules/av_proxy/tests/waiting_test.cpp
+++ b/modules/av_proxy/tests/waiting_test.cpp
@@ -77,4 +77,20 @@
     BOOST_TEST(is_answered_soon(longest) == is_answered_soon(shorter));
 }
 
+// An answer after the objective and before the deadline is still worth having
+// to its caller.
+BOOST_AUTO_TEST_CASE(call_that_missed_its_latency_objective_still_waits)
+{
+    scripted_target target;
+    relay vm(one_slot_release(target, milliseconds(1.0)));
+    auto running = occupy_slot(vm, target);
+    auto waiting = vm.call();
+    waiting.send(request_with_deadline(20000));
+    BOOST_TEST(!is_answered_soon(waiting));
+    running.target_side_.send(ok("one"));
+    running.target_side_.read_header();
+    running.target_side_.send(ok("two"));
+    BOOST_TEST(outcome_of(waiting.read_header()) == "answered");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
