Leave each call the time that its own rule's work takes

What callers saw: 503 deadline_unreachable at once, with a free slot, for a call whose service also runs calls of another rule that take longer.

Cause: the time that a call must leave for its work was one figure a service: the mean for policies that send load queries, a quantile for others.

Change: work_estimate, a mean and a mean deviation a rule, with the reported slowdown divided out; it is dropped with its rule, as is the count of a split's calls, which was kept forever. A rule without a run refuses nothing.

Evidence: waiting_suite/call_is_not_refused_for_the_work_of_another_rule failed before (not-run deadline_unreachable) and passes now.

--- a/benches/policy_bench/dispatcher.hpp
+++ b/benches/policy_bench/dispatcher.hpp
@@ -59,7 +59,7 @@
         anvilturn::admission_input input;
         input.calls_ahead_ = queue_.size_ahead_of(call_class);
         input.time_left_ = anvilturn::milliseconds(time_left_ms);
-        input.p95_latency_ = p95_.value_;
+        input.work_time_ = p95_.value_;
         return anvilturn::can_meet_deadline(drain_rate_, input);
     }
 
--- a/modules/av_limits/admission.cpp
+++ b/modules/av_limits/admission.cpp
@@ -44,7 +44,7 @@
                        const admission_input& input) noexcept
 {
     const auto wait = expected_wait(rate, input.calls_ahead_);
-    return wait + input.p95_latency_ < input.time_left_;
+    return wait + input.work_time_ < input.time_left_;
 }
 
 } // namespace anvilturn
--- a/modules/av_limits/admission.hpp
+++ b/modules/av_limits/admission.hpp
@@ -33,8 +33,8 @@
     // Calls that are served before this one: see call_queue::size_ahead_of.
     std::size_t calls_ahead_ = 0;
     milliseconds time_left_{0.0};
-    // 95th percentile of the service's latency at a target.
-    milliseconds p95_latency_{0.0};
+    // Time within which most calls of its kind end at a target.
+    milliseconds work_time_{0.0};
 };
 
 // Returns the latest point in time at which a call that needs the work time can
--- a/modules/av_limits/av_limits.hpp
+++ b/modules/av_limits/av_limits.hpp
@@ -18,5 +18,6 @@
 #include <av_limits/retry_budget.hpp>
 #include <av_limits/retry_decision.hpp>
 #include <av_limits/startup_wait.hpp>
+#include <av_limits/work_estimate.hpp>
 
 #endif
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -69,6 +69,7 @@
     const auto& head = *head_;
     idempotent_ = rule_->idempotent_;
     max_attempts_ = rule_->max_attempts_;
+    work_ = worker_.work_of(*rule_);
     latency_objective_ = rule_->latency_objective_;
     lifecycle_.start(idempotent_);
     auto allowed = head.deadline_.value_or(service_->spec_.default_deadline_);
@@ -321,12 +322,16 @@
     return deadline_;
 }
 
-milliseconds proxied_call::begin_wait(milliseconds typical_time)
+milliseconds proxied_call::work_time() const
+{
+    return likely_work_time(*work_);
+}
+
+milliseconds proxied_call::begin_wait()
 {
-    typical_time_ = typical_time;
     wait_began_at_ = worker_.now();
     link_.update_timer();
-    return latest_start(deadline_, typical_time);
+    return latest_start(deadline_, work_time());
 }
 
 milliseconds proxied_call::waited(milliseconds now) const
@@ -439,7 +444,7 @@
     attempts_ = 0;
     possible_runs_ = 0;
     latency_objective_ = milliseconds(0.0);
-    typical_time_ = milliseconds(0.0);
+    work_.reset();
     excluded_.clear();
     last_failure_.reset();
     refused_with_room_ = false;
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -8,6 +8,7 @@
 #include <av_core/milliseconds.hpp>
 #include <av_http/request_head.hpp>
 #include <av_limits/call_queue.hpp>
+#include <av_limits/work_estimate.hpp>
 #include <av_model/call_outcome.hpp>
 #include <av_proxy/attempt_observer.hpp>
 #include <av_proxy/caller_link.hpp>
@@ -89,9 +90,11 @@
     bool refresh_service();
     traffic_class priority() const;
     milliseconds deadline() const;
+    // Time within which the call probably ends at a target that is not slowed.
+    milliseconds work_time() const;
     // Starts the wait for a target. Returns the point in time at which the call
-    // stops waiting; typical_time is that of calls of the service at a target.
-    milliseconds begin_wait(milliseconds typical_time);
+    // stops waiting.
+    milliseconds begin_wait();
     // Time for which the call has waited for a target; call begin_wait first.
     milliseconds waited(milliseconds now) const;
     const std::optional<queue_ticket>& ticket() const;
@@ -167,7 +170,8 @@
     milliseconds deadline_;
     // When the call began to wait for a target.
     milliseconds wait_began_at_;
-    milliseconds typical_time_;
+    // How long the calls of the rule take.
+    std::shared_ptr<work_estimate> work_;
     // For logs only.
     milliseconds latency_objective_;
     bool idempotent_ = false;
--- a/modules/av_proxy/proxied_call_response.cpp
+++ b/modules/av_proxy/proxied_call_response.cpp
@@ -184,7 +184,7 @@
     return idempotent_ && !body_dropped_ &&
            possible_runs_ + 1 < max_attempts_ &&
            attempts_ < max_total_attempts &&
-           worker_.now() + typical_time_ < deadline_ &&
+           worker_.now() < latest_start(deadline_, work_time()) &&
            allows_extra_attempt(worker_state_->budget_);
 }
 
@@ -260,7 +260,7 @@
     if (!to_vm_ && !response_failed_)
     {
         record_latency(*target_, time, target_slots_);
-        worker_state_->latency_ = after_sample(worker_state_->latency_, time);
+        *work_ = after_run(*work_, slowdown_at_start_, time);
         worker_state_->profile_ = after_call(
             worker_state_->profile_, load_at_start_, slowdown_at_start_, time);
     }
--- a/modules/av_proxy/rule_matcher.cpp
+++ b/modules/av_proxy/rule_matcher.cpp
@@ -113,8 +113,14 @@
     }
 }
 
+bool rule_matcher::contains(const std::string& name) const
+{
+    return names_.contains(name);
+}
+
 void rule_matcher::add(const rule_spec& rule)
 {
+    names_.insert(rule.name_);
     auto& host = hosts_[rule.host_];
     const auto key = index_key(rule);
     host.by_prefix_[std::string(key)].push_back(rule);
--- a/modules/av_proxy/rule_matcher.hpp
+++ b/modules/av_proxy/rule_matcher.hpp
@@ -30,6 +30,9 @@
     // pointer is valid as long as the matcher.
     const rule_spec* match(const request_head& head) const;
 
+    // Returns whether there is a rule with that name.
+    bool contains(const std::string& name) const;
+
 private:
     // The rules of one host. Those with the same prefix are in matching order.
     struct host_rules
@@ -46,6 +49,7 @@
 
     // By host; rules for all hosts are under the empty string.
     absl::flat_hash_map<std::string, host_rules> hosts_;
+    absl::flat_hash_set<std::string> names_;
 };
 
 // Returns whether the prefix matches the path in whole segments: /kits covers
--- a/modules/av_proxy/tests/waiting_test.cpp
+++ b/modules/av_proxy/tests/waiting_test.cpp
@@ -93,4 +93,24 @@
     BOOST_TEST(outcome_of(waiting.read_header()) == "answered");
 }
 
+// The rule for archives needs 2 s of work; an availability check with less time
+// left than that can be served.
+BOOST_AUTO_TEST_CASE(call_is_not_refused_for_the_work_of_another_rule)
+{
+    scripted_target target;
+    relay vm(one_slot_release(target, milliseconds(0.0)));
+    auto caller = vm.call();
+    caller.send(get("/kits/availability"));
+    auto target_side = target.accept();
+    target_side.read_header();
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    target_side.send(ok("archive"));
+    BOOST_TEST(outcome_of(caller.read_header()) == "answered");
+    caller.read_bytes(7);
+    caller.send(request_with_deadline(1900));
+    BOOST_TEST(contains(target_side.read_header(), "GET /kits HTTP/1.1"));
+    target_side.send(ok("free"));
+    BOOST_TEST(outcome_of(caller.read_header()) == "answered");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/av_proxy/worker.cpp
+++ b/modules/av_proxy/worker.cpp
@@ -365,7 +365,7 @@
         });
     refill_load_query_tokens();
     load_query_sender_.drop_overdue(now());
-    drop_removed_target_pools();
+    drop_removed_state();
     check_stragglers();
     close_idle_target_connections();
     if (core_.finishing_.load())
@@ -437,14 +437,35 @@
 
 // Closes the connections to targets that the newest routing table no longer
 // lists.
-void worker::drop_removed_target_pools()
+void worker::drop_removed_state()
 {
-    const auto& table = this->table();
-    if (table == pools_table_)
+    if (table() == cleaned_table_)
     {
         return;
     }
-    pools_table_ = table;
+    cleaned_table_ = table();
+    drop_removed_target_pools();
+    drop_removed_rules();
+}
+
+void worker::drop_removed_rules()
+{
+    const auto& rules = *cleaned_table_->rules_;
+    absl::erase_if(rule_work_,
+                   [&rules](const auto& entry)
+                   {
+                       return !rules.contains(entry.first);
+                   });
+    absl::erase_if(split_calls_,
+                   [&rules](const auto& entry)
+                   {
+                       return !rules.contains(entry.first);
+                   });
+}
+
+void worker::drop_removed_target_pools()
+{
+    const auto& table = cleaned_table_;
     absl::flat_hash_set<const target_state*> kept;
     for (const auto& vm : table->vms_)
     {
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -6,9 +6,9 @@
 #include <av_core/snapshot_cell.hpp>
 #include <av_limits/admission.hpp>
 #include <av_limits/call_queue.hpp>
-#include <av_limits/latency_quantile.hpp>
 #include <av_limits/load_profile.hpp>
 #include <av_limits/retry_budget.hpp>
+#include <av_limits/work_estimate.hpp>
 #include <av_proxy/load_query_sender.hpp>
 #include <av_proxy/path_core.hpp>
 #include <av_proxy/routing_table.hpp>
@@ -54,7 +54,6 @@
     retry_budget budget_;
     // Rate at which calls leave the queue, and how long they take at a target.
     drain_rate rate_;
-    latency_quantile latency_;
     load_profile profile_;
     // Targets whose responses to load queries the waiting calls await, and
     // until when.
@@ -137,6 +136,10 @@
     // dispatched first, then those of other threads.
     void on_slot_freed(const std::shared_ptr<service_state>& service);
 
+    // Returns the estimate of how long calls of the rule take at a target,
+    // which lasts as long as the rule or a call of it. Never null.
+    std::shared_ptr<work_estimate> work_of(const rule_spec& rule);
+
     // A load query to a target of the service ended, with or without a
     // response.
     void on_load_query_ended(const std::string& service);
@@ -178,9 +181,6 @@
     bool awaits_load_responses(worker_service_state& worker_state);
     choice_input input_for(const service_entry& service,
                            const proxied_call* call);
-    milliseconds
-    typical_time_of(const service_entry& service,
-                    const worker_service_state& worker_state) const;
     bool would_miss_deadline(const proxied_call& call,
                              const worker_service_state& worker_state);
     void dispatch_waiting(worker_service_state& worker_state);
@@ -194,7 +194,9 @@
     void resume_pending();
     void refill_load_query_tokens();
     void tick();
+    void drop_removed_state();
     void drop_removed_target_pools();
+    void drop_removed_rules();
     void refuse_waiting();
     void close_idle_caller_connections();
     void close_all_connections();
@@ -212,7 +214,8 @@
     boost::asio::ip::tcp::acceptor callers_acceptor_;
     boost::asio::ip::tcp::acceptor forward_acceptor_;
     snapshot_reader<routing_table> reader_;
-    std::shared_ptr<const routing_table> pools_table_;
+    // The table for which state of removed targets and rules was last dropped.
+    std::shared_ptr<const routing_table> cleaned_table_;
     boost::random::mt19937_64 random_;
     milliseconds cached_now_;
     std::array<char, scratch_bytes> scratch_{};
@@ -232,6 +235,8 @@
     // which this VM starts in the split.
     absl::flat_hash_map<std::string, std::uint64_t> split_calls_;
     double split_phase_;
+    // By name of the rule.
+    absl::flat_hash_map<std::string, std::shared_ptr<work_estimate>> rule_work_;
     load_query_sender load_query_sender_;
     bool finished_ = false;
     unsigned ticks_ = 0;
--- a/modules/av_proxy/worker_queue.cpp
+++ b/modules/av_proxy/worker_queue.cpp
@@ -69,6 +69,16 @@
     return rule.split_[part].service_;
 }
 
+std::shared_ptr<work_estimate> worker::work_of(const rule_spec& rule)
+{
+    auto& work = rule_work_[rule.name_];
+    if (work == nullptr)
+    {
+        work = std::make_shared<work_estimate>();
+    }
+    return work;
+}
+
 void worker::on_load_query_ended(const std::string& service)
 {
     const auto found = worker_states_.find(service);
@@ -205,9 +215,9 @@
     if (service.policy_->select_load_queries_ != nullptr)
     {
         auto& worker_state = worker_state_of(service);
-        input.typical_time_ = typical_time(worker_state.profile_);
         if (call != nullptr)
         {
+            input.work_time_ = call->work_time();
             input.time_left_ = call->deadline() - cached_now_;
             input.waited_ = call->waited(cached_now_);
         }
@@ -364,9 +374,7 @@
         worker_state.unslowed_awaited_since_ = cached_now_;
     }
     call.set_ticket(worker_state.queue_.push(
-        std::move(shared),
-        call.priority(),
-        call.begin_wait(typical_time_of(call.service(), worker_state))));
+        std::move(shared), call.priority(), call.begin_wait()));
     worker_state.state_->waiting_[index_].fetch_add(1);
     worker_state.state_->waiting_calls_total_.fetch_add(1);
     while (worker_state.queue_.is_over_limit())
@@ -378,19 +386,6 @@
     }
 }
 
-// Returns the time that a waiting call must leave for its run at a target: the
-// typical time for policies that send load queries, else the 95th percentile.
-milliseconds
-worker::typical_time_of(const service_entry& service,
-                        const worker_service_state& worker_state) const
-{
-    const bool uses_load_queries =
-        service.policy_ != nullptr &&
-        service.policy_->select_load_queries_ != nullptr;
-    return uses_load_queries ? typical_time(worker_state.profile_)
-                             : worker_state.latency_.value_;
-}
-
 // Returns whether the call would be answered after its deadline if it waited.
 bool worker::would_miss_deadline(const proxied_call& call,
                                  const worker_service_state& worker_state)
@@ -398,7 +393,7 @@
     admission_input input;
     input.calls_ahead_ = worker_state.queue_.size_ahead_of(call.priority());
     input.time_left_ = call.deadline() - cached_now_;
-    input.p95_latency_ = typical_time_of(call.service(), worker_state);
+    input.work_time_ = call.work_time();
     return !can_meet_deadline(worker_state.rate_, input);
 }
 
--- a/modules/av_routing/ask_first_policy.cpp
+++ b/modules/av_routing/ask_first_policy.cpp
@@ -85,12 +85,12 @@
     {
         return true;
     }
-    const auto time_there = input.typical_time_ * target.reported_slowdown_;
+    const auto time_there = input.work_time_ * target.reported_slowdown_;
     if (time_there > input.time_left_)
     {
         return false;
     }
-    const auto delay_there = time_there - input.typical_time_;
+    const auto delay_there = time_there - input.work_time_;
     const bool is_last_chance =
         input.time_left_ - time_there <= load_query_wait_limit;
     return is_last_chance || input.unslowed_awaited_for_ >= delay_there;
@@ -144,7 +144,7 @@
 // time is left for one.
 bool may_use_other_domains(const choice_input& input) noexcept
 {
-    const auto spare_time = input.time_left_ - input.typical_time_;
+    const auto spare_time = input.time_left_ - input.work_time_;
     return input.waited_ >= load_query_wait_limit ||
            spare_time <= load_query_wait_limit || !has_local_target(input);
 }
--- a/modules/av_routing/choice_policy.hpp
+++ b/modules/av_routing/choice_policy.hpp
@@ -28,8 +28,9 @@
     std::uint64_t sequence_ = 0;
     // Calls of the service that wait at this VM, including the one to be sent.
     std::size_t waiting_calls_ = 1;
-    // Typical time of a call of the service; zero before the first response.
-    milliseconds typical_time_{0.0};
+    // Time within which most calls of this kind end at a target that is not
+    // slowed; zero before the first one.
+    milliseconds work_time_{0.0};
     // Time until the call's deadline.
     milliseconds time_left_{0.0};
     // How long the call has waited at this VM for a target.
--- a/modules/av_routing/tests/ask_first_test.cpp
+++ b/modules/av_routing/tests/ask_first_test.cpp
@@ -42,14 +42,14 @@
     return view;
 }
 
-// A call with a typical time of 120 ms that has waited and has 1 s left.
+// A call whose work takes 120 ms that has waited and has 1 s left.
 choice_input call_for(const std::vector<target_view>& targets,
                       milliseconds waited = milliseconds(0.0))
 {
     choice_input input{targets};
     input.random_ = 20261204;
     input.may_query_ = true;
-    input.typical_time_ = milliseconds(120.0);
+    input.work_time_ = milliseconds(120.0);
     input.time_left_ = milliseconds(1000.0);
     input.waited_ = waited;
     input.unslowed_awaited_for_ = waited;
