Order waiting calls by their latest start, and refuse those that can't start

What callers saw: of two callers that waited in a class, the one with more time left could be served first and the other refused at its deadline. Calls were admitted by one drain rate for all classes, and calls that could no longer start in time stayed queued until their time had passed. After the last waiting call was refused or withdrawn, the idle time until the next dequeue counted as an interval between dequeues (60 s without calls raised a mean of 2 ms to 1,200 ms, computed from the code), so the next callers were refused for no reason.

Cause: first in, first out within a class; one smoothed interval a service, fed by any two dequeues; no second look at a call that was queued.

Change: within a class the call that must start soonest is first. Each class has its drain rate, whose memory is a second of waiting and which leaves idle time out. A call is refused at once if it can't start in time, or would make an accepted one late, and when the rate shows that it can't any more.

--- a/benches/policy_bench/dispatcher.hpp
+++ b/benches/policy_bench/dispatcher.hpp
@@ -6,10 +6,12 @@
 #include <av_limits/hedging.hpp>
 #include <av_limits/latency_quantile.hpp>
 #include <av_limits/retry_budget.hpp>
+#include <av_limits/start_schedule.hpp>
 #include <av_routing/choice_policy.hpp>
 #include <av_routing/random_bits.hpp>
 #include <av_routing/target_record.hpp>
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <utility>
@@ -52,25 +54,45 @@
         return policy_->choose_({views_, random_, sequence_++, queue_.size()});
     }
 
-    // Whether a call that arrives now can be answered before its deadline.
-    bool can_meet_deadline(anvilturn::traffic_class call_class,
-                           double time_left_ms) const
+    // Returns the latest start of a call with the deadline.
+    anvilturn::milliseconds latest_start(double deadline_ms) const
     {
-        anvilturn::admission_input input;
-        input.calls_ahead_ = queue_.size_ahead_of(call_class);
-        input.time_left_ = anvilturn::milliseconds(time_left_ms);
-        input.work_time_ = p95_.value_;
-        return anvilturn::can_meet_deadline(drain_rate_, input);
+        return anvilturn::latest_start(anvilturn::milliseconds(deadline_ms),
+                                       p95_.value_);
     }
 
-    // Removes the next call from the queue, to be sent to a target, and returns
-    // its number. The queue must not be empty.
-    int start_next(double now_ms)
+    // Returns whether a call that arrives now can start in time.
+    bool has_place_for(anvilturn::traffic_class call_class,
+                       anvilturn::milliseconds latest_start,
+                       double now_ms) const
     {
-        const int call = *queue_.pop();
-        drain_rate_ = after_dequeue(
-            drain_rate_, queue_.size(), anvilturn::milliseconds(now_ms));
-        return call;
+        const anvilturn::milliseconds now(now_ms);
+        const auto& rate = rates_[static_cast<std::size_t>(call_class)];
+        return anvilturn::has_place_for(latest_start,
+                                        queue_.latest_starts(call_class),
+                                        {now, mean_interval(rate, now)});
+    }
+
+    // Adds a call to the queue; see call_queue::push.
+    void enqueue(int call,
+                 anvilturn::traffic_class call_class,
+                 anvilturn::milliseconds latest_start)
+    {
+        if (queue_.size(call_class) == 0)
+        {
+            auto& rate = rates_[static_cast<std::size_t>(call_class)];
+            rate = at_first_wait(rate);
+        }
+        queue_.push(call, call_class, latest_start);
+    }
+
+    // Records that the call, which was removed from the queue, is sent to a
+    // target.
+    void record_start(anvilturn::traffic_class call_class, double now_ms)
+    {
+        auto& rate = rates_[static_cast<std::size_t>(call_class)];
+        rate = after_dequeue(
+            rate, queue_.size(call_class), anvilturn::milliseconds(now_ms));
     }
 
     // Numbers of the calls that wait for a target.
@@ -80,7 +102,7 @@
     anvilturn::retry_budget retry_budget_;
 
 private:
-    anvilturn::drain_rate drain_rate_;
+    std::array<anvilturn::drain_rate, anvilturn::traffic_class_count> rates_;
     const anvilturn::choice_policy* policy_;
     std::vector<anvilturn::target_properties> properties_;
     std::vector<anvilturn::target_view> views_;
--- a/benches/policy_bench/service_simulation.cpp
+++ b/benches/policy_bench/service_simulation.cpp
@@ -245,18 +245,17 @@
 void service_simulation::on_call_at_dispatcher(int call_number)
 {
     auto& current_attempt = call(call_number);
-    auto& queue = dispatcher_of(current_attempt).queue_;
-    const double time_left_ms =
-        current_attempt.arrival_ms_ + settings_.deadline_ms_ - now_ms_;
-    if (!queue.accepts(current_attempt.class_) ||
-        !dispatcher_of(current_attempt)
-             .can_meet_deadline(current_attempt.class_, time_left_ms))
+    auto& current_dispatcher = dispatcher_of(current_attempt);
+    auto& queue = current_dispatcher.queue_;
+    const auto call_class = current_attempt.class_;
+    const auto latest_start = current_dispatcher.latest_start(
+        current_attempt.arrival_ms_ + settings_.deadline_ms_);
+    if (!queue.accepts(call_class) ||
+        !current_dispatcher.has_place_for(call_class, latest_start, now_ms_))
     {
         return refuse(call_number);
     }
-    const milliseconds deadline(current_attempt.arrival_ms_ +
-                                settings_.deadline_ms_);
-    queue.push(call_number, current_attempt.class_, deadline);
+    current_dispatcher.enqueue(call_number, call_class, latest_start);
     while (queue.is_over_limit())
     {
         refuse(*queue.displace());
@@ -272,6 +271,22 @@
     }
 }
 
+void service_simulation::refuse_late_calls(dispatcher& current_dispatcher)
+{
+    auto& queue = current_dispatcher.queue_;
+    for (const int expired : queue.take_expired(milliseconds(now_ms_)))
+    {
+        refuse(expired);
+    }
+}
+
+int service_simulation::start_next(dispatcher& current_dispatcher)
+{
+    const int call_number = *current_dispatcher.queue_.pop();
+    current_dispatcher.record_start(call(call_number).class_, now_ms_);
+    return call_number;
+}
+
 void service_simulation::dispatch_queue(int vm)
 {
     if (scheme_.location_ == dispatch_location::central)
@@ -283,12 +298,7 @@
     {
         return;
     }
-    const auto last_start =
-        milliseconds(now_ms_) + current_dispatcher.p95_.value_;
-    for (const int expired : current_dispatcher.queue_.take_expired(last_start))
-    {
-        refuse(expired);
-    }
+    refuse_late_calls(current_dispatcher);
     while (!current_dispatcher.queue_.empty())
     {
         const auto target = current_dispatcher.choose(now_ms_);
@@ -296,7 +306,7 @@
         {
             return;
         }
-        send(current_dispatcher.start_next(now_ms_), static_cast<int>(*target));
+        send(start_next(current_dispatcher), static_cast<int>(*target));
     }
 }
 
@@ -322,11 +332,7 @@
 void service_simulation::dispatch_central_queue()
 {
     auto& queue = dispatchers_[0].queue_;
-    const auto last_start = milliseconds(now_ms_) + dispatchers_[0].p95_.value_;
-    for (const int expired : queue.take_expired(last_start))
-    {
-        refuse(expired);
-    }
+    refuse_late_calls(dispatchers_[0]);
     while (!queue.empty())
     {
         const int target = find_available_target();
@@ -334,7 +340,7 @@
         {
             return;
         }
-        const int call_number = dispatchers_[0].start_next(now_ms_);
+        const int call_number = start_next(dispatchers_[0]);
         call(call_number).target_ = target;
         call(call_number).sent_ms_ = now_ms_;
         targets_[static_cast<std::size_t>(target)].enqueue(call_number);
--- a/benches/policy_bench/service_simulation.hpp
+++ b/benches/policy_bench/service_simulation.hpp
@@ -171,6 +171,10 @@
 
     void refuse(int call_number);
 
+    void refuse_late_calls(dispatcher& current_dispatcher);
+    // Removes the next call from the queue, which must not be empty, and
+    // returns its number.
+    int start_next(dispatcher& current_dispatcher);
     void dispatch_queue(int vm);
 
     void send(int call_number, int target);
--- a/modules/av_limits/admission.cpp
+++ b/modules/av_limits/admission.cpp
@@ -1,12 +1,23 @@
 #include <av_limits/admission.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 namespace anvilturn
 {
 
 namespace
 {
 
-constexpr double interval_weight = 0.02;
+// Age at which a measurement has lost most of its weight: long enough for a VM
+// with few calls to dequeue some, short enough to follow a change of the load
+// within the deadlines of calls.
+constexpr milliseconds rate_memory(1000.0);
+
+double weight_after(milliseconds age) noexcept
+{
+    return std::exp(-(age / rate_memory));
+}
 
 } // namespace
 
@@ -17,34 +28,43 @@
     if (rate.had_waiting_calls_)
     {
         const auto interval = now - rate.last_dequeue_at_;
-        rate.mean_interval_ =
-            rate.mean_interval_.count() > 0.0
-                ? rate.mean_interval_ +
-                      (interval - rate.mean_interval_) * interval_weight
-                : interval;
+        const double weight = weight_after(interval);
+        rate.waiting_time_ = rate.waiting_time_ * weight + interval;
+        rate.dequeues_ = rate.dequeues_ * weight + 1.0;
     }
     rate.last_dequeue_at_ = now;
     rate.had_waiting_calls_ = still_waiting > 0;
     return rate;
 }
 
-milliseconds latest_start(milliseconds deadline,
-                          milliseconds work_time) noexcept
+drain_rate at_first_wait(drain_rate rate) noexcept
 {
-    return deadline - work_time;
+    rate.had_waiting_calls_ = false;
+    return rate;
 }
 
-milliseconds expected_wait(const drain_rate& rate,
-                           std::size_t calls_ahead) noexcept
+milliseconds mean_interval(const drain_rate& rate, milliseconds now) noexcept
 {
-    return rate.mean_interval_ * static_cast<double>(calls_ahead);
+    if (rate.dequeues_ <= 0.0)
+    {
+        return milliseconds(0.0);
+    }
+    const auto mean = rate.waiting_time_ * (1.0 / rate.dequeues_);
+    const auto since_last = now - rate.last_dequeue_at_;
+    if (!rate.had_waiting_calls_ || since_last <= mean)
+    {
+        return mean;
+    }
+    const double weight = weight_after(since_last);
+    const double dequeues = std::max(1.0, rate.dequeues_ * weight);
+    const auto waiting_time = rate.waiting_time_ * weight + since_last;
+    return std::max(mean, waiting_time * (1.0 / dequeues));
 }
 
-bool can_meet_deadline(const drain_rate& rate,
-                       const admission_input& input) noexcept
+milliseconds latest_start(milliseconds deadline,
+                          milliseconds work_time) noexcept
 {
-    const auto wait = expected_wait(rate, input.calls_ahead_);
-    return wait + input.work_time_ < input.time_left_;
+    return deadline - work_time;
 }
 
 } // namespace anvilturn
--- a/modules/av_limits/av_limits.hpp
+++ b/modules/av_limits/av_limits.hpp
@@ -17,6 +17,7 @@
 #include <av_limits/retry_after.hpp>
 #include <av_limits/retry_budget.hpp>
 #include <av_limits/retry_decision.hpp>
+#include <av_limits/start_schedule.hpp>
 #include <av_limits/startup_wait.hpp>
 #include <av_limits/work_estimate.hpp>
 
--- a/modules/av_limits/call_queue.hpp
+++ b/modules/av_limits/call_queue.hpp
@@ -9,7 +9,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <iterator>
-#include <list>
 #include <map>
 #include <optional>
 #include <utility>
@@ -23,9 +22,11 @@
 
 // Queue of the calls of one service that wait at this VM for a slot of a
 // target. Higher classes are served first; lower ones keep a small share so
-// that they are not starved (see class_scheduling.hpp). Within a class the
-// order is first in, first out. A queue is used by one thread. Call is any
-// movable type, such as a shared pointer.
+// that they are not starved (see class_scheduling.hpp). Within a class the call
+// that must start soonest to meet its deadline is first, then the one that came
+// first; no call is starved, since each becomes the most urgent one in the end.
+// A queue is used by one thread. Call is any movable type, such as a shared
+// pointer.
 template <typename Call>
 class call_queue
 {
@@ -58,16 +59,26 @@
         return calls_[static_cast<std::size_t>(value)].size();
     }
 
-    // Returns the number of waiting calls that would be served before a new
-    // call of the class: those of its own class and of higher ones.
-    std::size_t size_ahead_of(traffic_class value) const noexcept
+    // Returns the latest start of each waiting call of the class, in the order
+    // in which they are served.
+    std::vector<milliseconds> latest_starts(traffic_class value) const
     {
-        std::size_t count = 0;
-        for (std::size_t i = 0; i <= static_cast<std::size_t>(value); ++i)
+        std::vector<milliseconds> result;
+        for (const auto& entry : calls_[static_cast<std::size_t>(value)])
         {
-            count += calls_[i].size();
+            result.push_back(entry.first);
         }
-        return count;
+        return result;
+    }
+
+    // Returns the number of waiting calls of the class that would be served
+    // before a new one with this latest start.
+    std::size_t size_ahead_of(traffic_class value,
+                              milliseconds latest_start) const
+    {
+        const auto& calls = calls_[static_cast<std::size_t>(value)];
+        return static_cast<std::size_t>(
+            std::distance(calls.begin(), calls.upper_bound(latest_start)));
     }
 
     // Returns whether a call of the class can be queued. A full queue still
@@ -78,15 +89,16 @@
     }
 
     // Adds a call and returns its ticket. Check accepts() first; afterwards
-    // call displace() while is_over_limit() returns true. The deadline is a
-    // time on the monotonic clock.
-    queue_ticket push(Call call, traffic_class value, milliseconds deadline)
+    // call displace() while is_over_limit() returns true. The latest start is
+    // the time on the monotonic clock after which the call would miss its
+    // deadline.
+    queue_ticket push(Call call, traffic_class value, milliseconds latest_start)
     {
         const auto ticket = ++last_ticket_;
         auto& calls = calls_[static_cast<std::size_t>(value)];
-        calls.push_back({std::move(call), ticket, deadline});
-        entries_by_ticket_.emplace(ticket,
-                                   position{value, std::prev(calls.end())});
+        const auto entry =
+            calls.emplace(latest_start, waiting_call{std::move(call), ticket});
+        entries_by_ticket_.emplace(ticket, position{value, entry});
         return ticket;
     }
 
@@ -95,9 +107,9 @@
         return size() > limit_;
     }
 
-    // Removes and returns the newest call of the lowest class that waits;
-    // refuse it as not run, since a call of a higher class took its place.
-    // Returns nothing if the queue is empty.
+    // Removes and returns the call with the most time left of the lowest class
+    // that waits; refuse it as not run, since a call of a higher class took its
+    // place. Returns nothing if the queue is empty.
     std::optional<Call> displace()
     {
         for (std::size_t i = traffic_class_count; i-- > 0;)
@@ -116,7 +128,9 @@
         auto skips = class_skips_;
         const auto value = next_class(
             skips, {calls_[0].size(), calls_[1].size(), calls_[2].size()});
-        return value ? &calls_[static_cast<std::size_t>(*value)].front().call_
+        return value ? &calls_[static_cast<std::size_t>(*value)]
+                            .begin()
+                            ->second.call_
                      : nullptr;
     }
 
@@ -135,27 +149,41 @@
         return take(calls_[index].begin(), index);
     }
 
-    // Removes and returns all calls whose deadline is at or before the point in
-    // time; refuse them as not run. Pass the current time plus the time a call
-    // takes at a target, so that calls which can't be answered in time do not
-    // use a slot.
+    // Removes and returns all calls whose latest start is at or before the
+    // point in time; refuse them as not run, so that calls which can't be
+    // answered in time do not use a slot.
     std::vector<Call> take_expired(milliseconds point)
     {
         std::vector<Call> result;
         for (std::size_t i = 0; i < traffic_class_count; ++i)
         {
-            for (auto it = calls_[i].begin(); it != calls_[i].end();)
+            while (!calls_[i].empty() && calls_[i].begin()->first <= point)
             {
-                const auto here = it++;
-                if (here->deadline_ <= point)
-                {
-                    result.push_back(take(here, i));
-                }
+                result.push_back(take(calls_[i].begin(), i));
             }
         }
         return result;
     }
 
+    // Removes and returns the calls of the class at these positions, which are
+    // in rising order.
+    std::vector<Call> take(traffic_class value,
+                           const std::vector<std::size_t>& positions)
+    {
+        const auto index = static_cast<std::size_t>(value);
+        std::vector<Call> result;
+        auto entry = calls_[index].begin();
+        std::size_t at = 0;
+        for (const auto wanted : positions)
+        {
+            std::advance(entry, wanted - at);
+            at = wanted + 1;
+            const auto here = entry++;
+            result.push_back(take(here, index));
+        }
+        return result;
+    }
+
     // Removes and returns the call of the ticket after its caller has
     // disconnected; nothing if it has already left the queue.
     std::optional<Call> withdraw(queue_ticket ticket)
@@ -175,10 +203,10 @@
     {
         Call call_;
         queue_ticket ticket_ = 0;
-        milliseconds deadline_{0.0};
     };
 
-    using call_list = std::list<waiting_call>;
+    // By latest start.
+    using call_list = std::multimap<milliseconds, waiting_call>;
 
     struct position
     {
@@ -202,8 +230,8 @@
 
     Call take(typename call_list::iterator entry, std::size_t index)
     {
-        Call call = std::move(entry->call_);
-        entries_by_ticket_.erase(entry->ticket_);
+        Call call = std::move(entry->second.call_);
+        entries_by_ticket_.erase(entry->second.ticket_);
         calls_[index].erase(entry);
         return call;
     }
--- a/modules/av_limits/tests/admission_test.cpp
+++ b/modules/av_limits/tests/admission_test.cpp
@@ -24,11 +24,13 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(expected_wait_is_calls_ahead_times_interval)
+BOOST_AUTO_TEST_CASE(interval_is_that_of_the_dequeues)
 {
     const auto rate = rate_with_interval(2.0);
-    BOOST_TEST(expected_wait(rate, 10).count() == 20.0,
+    BOOST_TEST(mean_interval(rate, rate.last_dequeue_at_).count() == 2.0,
                boost::test_tools::tolerance(1e-9));
+    BOOST_TEST(
+        (mean_interval(drain_rate(), milliseconds(5.0)) == milliseconds(0.0)));
 }
 
 BOOST_AUTO_TEST_CASE(interval_is_not_updated_while_no_call_waits)
@@ -36,42 +38,41 @@
     auto rate = rate_with_interval(2.0);
     rate = after_dequeue(rate, 0, milliseconds(100.0));
     rate = after_dequeue(rate, 5, milliseconds(60000.0));
-    BOOST_TEST(rate.mean_interval_.count() == 2.0,
+    BOOST_TEST(mean_interval(rate, milliseconds(60000.0)).count() == 2.0,
                boost::test_tools::tolerance(1e-9));
 }
 
-struct admission_case
+// The last waiting call was refused or withdrawn, and nobody waited for a
+// minute.
+BOOST_AUTO_TEST_CASE(time_without_waiting_calls_does_not_count)
 {
-    const char* name_;
-    admission_input decision_input_;
-    bool accepted_;
-};
+    auto rate = rate_with_interval(2.0);
+    rate = at_first_wait(rate);
+    rate = after_dequeue(rate, 0, milliseconds(60000.0));
+    BOOST_TEST(mean_interval(rate, milliseconds(60000.0)).count() == 2.0,
+               boost::test_tools::tolerance(1e-9));
+}
 
-BOOST_AUTO_TEST_CASE(admission_table)
+BOOST_AUTO_TEST_CASE(interval_grows_while_no_call_is_dequeued)
 {
     const auto rate = rate_with_interval(2.0);
-    const milliseconds p95(50.0);
-    const admission_case cases[] = {
-        {"enough time", {10, milliseconds(80.0), p95}, true},
-        {"the call alone takes too long", {0, milliseconds(50.0), p95}, false},
-        {"the calls ahead take too long", {20, milliseconds(80.0), p95}, false},
-        {"no calls ahead", {0, milliseconds(50.1), p95}, true},
-        {"no time left", {0, milliseconds(0.0), milliseconds(0.0)}, false},
-    };
-    for (const auto& row : cases)
-    {
-        BOOST_TEST_CONTEXT(row.name_)
-        {
-            BOOST_TEST(can_meet_deadline(rate, row.decision_input_) ==
-                       row.accepted_);
-        }
-    }
+    const auto later = rate.last_dequeue_at_ + milliseconds(3000.0);
+    BOOST_TEST(mean_interval(rate, later).count() >= 1000.0);
 }
 
-// Without a measured rate only the deadline itself can cause a refusal.
-BOOST_AUTO_TEST_CASE(calls_are_accepted_before_the_first_dequeue)
+// After an outage of five seconds, calls are dequeued each 50 ms again.
+BOOST_AUTO_TEST_CASE(interval_follows_the_load_within_seconds)
 {
-    BOOST_TEST(can_meet_deadline(drain_rate{}, {100, milliseconds(1.0), {}}));
+    auto rate = rate_with_interval(50.0);
+    auto now = rate.last_dequeue_at_ + milliseconds(5000.0);
+    rate = after_dequeue(rate, 5, now);
+    BOOST_TEST(mean_interval(rate, now).count() > 1000.0);
+    for (int i = 0; i < 60; ++i)
+    {
+        now = now + milliseconds(50.0);
+        rate = after_dequeue(rate, 5, now);
+    }
+    BOOST_TEST(mean_interval(rate, now).count() < 100.0);
 }
 
 // A call is refused only once it could not be answered before its deadline.
--- a/modules/av_limits/tests/call_queue_test.cpp
+++ b/modules/av_limits/tests/call_queue_test.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr milliseconds far_deadline(1e9);
+constexpr milliseconds far_start(1e9);
 
 constexpr auto transactional = traffic_class::transactional;
 constexpr auto interactive = traffic_class::interactive;
@@ -21,14 +21,14 @@
 
 BOOST_AUTO_TEST_SUITE(call_queue_suite)
 
-BOOST_AUTO_TEST_CASE(higher_class_first_then_arrival_order)
+BOOST_AUTO_TEST_CASE(higher_class_first_then_arrival_order_of_equals)
 {
     call_queue<int> queue(10);
-    queue.push(1, bulk, far_deadline);
-    queue.push(2, interactive, far_deadline);
-    queue.push(3, transactional, far_deadline);
-    queue.push(4, interactive, far_deadline);
-    queue.push(5, transactional, far_deadline);
+    queue.push(1, bulk, far_start);
+    queue.push(2, interactive, far_start);
+    queue.push(3, transactional, far_start);
+    queue.push(4, interactive, far_start);
+    queue.push(5, transactional, far_start);
     for (const int expected : {3, 5, 2, 4, 1})
     {
         BOOST_TEST(*queue.pop() == expected);
@@ -37,6 +37,22 @@
     BOOST_TEST(queue.empty());
 }
 
+// Of two callers that wait, the one with less time left is served first.
+BOOST_AUTO_TEST_CASE(call_that_must_start_soonest_is_first_in_its_class)
+{
+    call_queue<int> queue(10);
+    queue.push(1, interactive, milliseconds(300.0));
+    queue.push(2, interactive, milliseconds(100.0));
+    queue.push(3, transactional, milliseconds(900.0));
+    queue.push(4, interactive, milliseconds(200.0));
+    BOOST_TEST(queue.size_ahead_of(interactive, milliseconds(200.0)) == 2u);
+    BOOST_TEST(queue.size_ahead_of(interactive, milliseconds(50.0)) == 0u);
+    for (const int expected : {3, 2, 4, 1})
+    {
+        BOOST_TEST(*queue.pop() == expected);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(lower_classes_are_not_starved)
 {
     call_queue<traffic_class> queue(100000);
@@ -44,7 +60,7 @@
     {
         for (const auto value : {transactional, interactive, bulk})
         {
-            queue.push(value, value, far_deadline);
+            queue.push(value, value, far_start);
         }
     }
     std::map<traffic_class, int> served;
@@ -61,24 +77,24 @@
 BOOST_AUTO_TEST_CASE(full_queue_takes_a_call_only_in_place_of_a_lower_class)
 {
     call_queue<int> queue(2);
-    queue.push(1, bulk, far_deadline);
-    queue.push(2, interactive, far_deadline);
+    queue.push(1, bulk, far_start);
+    queue.push(2, interactive, far_start);
     BOOST_TEST(!queue.accepts(bulk));
     BOOST_TEST(queue.accepts(interactive));
     BOOST_TEST(queue.accepts(transactional));
-    queue.push(3, transactional, far_deadline);
+    queue.push(3, transactional, far_start);
     BOOST_TEST(queue.is_over_limit());
     BOOST_TEST(*queue.displace() == 1);
     BOOST_TEST(!queue.is_over_limit());
     BOOST_TEST(!queue.accepts(interactive));
 }
 
-BOOST_AUTO_TEST_CASE(displace_removes_the_newest_call_of_the_lowest_class)
+BOOST_AUTO_TEST_CASE(displace_removes_the_last_call_of_the_lowest_class)
 {
     call_queue<int> queue(10);
-    queue.push(1, interactive, far_deadline);
-    queue.push(2, bulk, far_deadline);
-    queue.push(3, bulk, far_deadline);
+    queue.push(1, interactive, far_start);
+    queue.push(2, bulk, far_start);
+    queue.push(3, bulk, far_start);
     BOOST_TEST(*queue.displace() == 3);
     BOOST_TEST(*queue.displace() == 2);
     BOOST_TEST(*queue.displace() == 1);
@@ -100,23 +116,26 @@
 BOOST_AUTO_TEST_CASE(withdrawn_call_is_removed_exactly_once)
 {
     call_queue<int> queue(10);
-    queue.push(1, interactive, far_deadline);
-    const auto ticket = queue.push(2, interactive, far_deadline);
+    queue.push(1, interactive, far_start);
+    const auto ticket = queue.push(2, interactive, far_start);
     BOOST_TEST(*queue.withdraw(ticket) == 2);
     BOOST_TEST(!queue.withdraw(ticket).has_value());
     BOOST_TEST(*queue.pop() == 1);
     BOOST_TEST(!queue.pop().has_value());
 }
 
-BOOST_AUTO_TEST_CASE(size_ahead_counts_the_same_and_higher_classes)
+BOOST_AUTO_TEST_CASE(calls_are_taken_by_their_position)
 {
     call_queue<int> queue(10);
-    queue.push(1, bulk, far_deadline);
-    queue.push(2, interactive, far_deadline);
-    queue.push(3, transactional, far_deadline);
-    BOOST_TEST(queue.size_ahead_of(transactional) == 1u);
-    BOOST_TEST(queue.size_ahead_of(interactive) == 2u);
-    BOOST_TEST(queue.size_ahead_of(bulk) == 3u);
+    for (int call = 0; call < 5; ++call)
+    {
+        queue.push(call, bulk, milliseconds(call));
+    }
+    const std::vector<int> expected{0, 2, 4};
+    BOOST_TEST((queue.take(bulk, {0, 2, 4}) == expected));
+    BOOST_TEST(*queue.pop() == 1);
+    BOOST_TEST(*queue.pop() == 3);
+    BOOST_TEST(queue.empty());
 }
 
 BOOST_AUTO_TEST_CASE(peek_returns_the_call_that_pop_removes)
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -8,6 +8,7 @@
 #include <av_limits/call_queue.hpp>
 #include <av_limits/load_profile.hpp>
 #include <av_limits/retry_budget.hpp>
+#include <av_limits/start_schedule.hpp>
 #include <av_limits/work_estimate.hpp>
 #include <av_proxy/load_query_sender.hpp>
 #include <av_proxy/path_core.hpp>
@@ -52,8 +53,9 @@
     std::shared_ptr<service_state> state_;
     call_queue<std::shared_ptr<proxied_call>> queue_;
     retry_budget budget_;
-    // Rate at which calls leave the queue, and how long they take at a target.
-    drain_rate rate_;
+    // Rate at which the calls of each class leave the queue.
+    std::array<drain_rate, traffic_class_count> rates_;
+    // How long calls take at targets of each load.
     load_profile profile_;
     // Targets whose responses to load queries the waiting calls await, and
     // until when.
@@ -181,11 +183,12 @@
     bool awaits_load_responses(worker_service_state& worker_state);
     choice_input input_for(const service_entry& service,
                            const proxied_call* call);
-    bool would_miss_deadline(const proxied_call& call,
-                             const worker_service_state& worker_state);
+    start_schedule schedule_of(traffic_class value,
+                               const worker_service_state& worker_state) const;
     void dispatch_waiting(worker_service_state& worker_state);
     std::shared_ptr<proxied_call> pop(worker_service_state& worker_state);
     void refuse_expired(worker_service_state& worker_state);
+    void refuse_too_late(worker_service_state& worker_state);
     bool dispatch_expired(proxied_call& call);
     void decrement_waiting(worker_service_state& worker_state);
     void wake_other_worker(const std::shared_ptr<service_state>& service);
--- a/modules/av_proxy/worker_queue.cpp
+++ b/modules/av_proxy/worker_queue.cpp
@@ -355,51 +355,58 @@
     return connection_share_used ? 0 : limit;
 }
 
+// Enqueues the call, or refuses it if the queue is full or it can't start in
+// time.
 void worker::enqueue(proxied_call& call,
                      worker_service_state& worker_state,
                      std::shared_ptr<proxied_call> shared)
 {
-    if (!worker_state.queue_.accepts(call.priority()))
+    auto& queue = worker_state.queue_;
+    const auto value = call.priority();
+    if (!queue.accepts(value))
     {
         call.refuse(error_kind::queue_full);
         return;
     }
-    if (would_miss_deadline(call, worker_state))
+    const auto latest_start = call.begin_wait();
+    const auto waiting = queue.latest_starts(value);
+    if (!has_place_for(latest_start, waiting, schedule_of(value, worker_state)))
     {
         call.refuse(error_kind::deadline_unreachable);
         return;
     }
-    if (worker_state.queue_.empty())
+    if (queue.empty())
     {
         worker_state.unslowed_awaited_since_ = cached_now_;
     }
-    call.set_ticket(worker_state.queue_.push(
-        std::move(shared), call.priority(), call.begin_wait()));
+    if (waiting.empty())
+    {
+        auto& rate = worker_state.rates_[static_cast<std::size_t>(value)];
+        rate = at_first_wait(rate);
+    }
+    call.set_ticket(queue.push(std::move(shared), value, latest_start));
     worker_state.state_->waiting_[index_].fetch_add(1);
     worker_state.state_->waiting_calls_total_.fetch_add(1);
-    while (worker_state.queue_.is_over_limit())
+    while (queue.is_over_limit())
     {
-        const auto displaced = worker_state.queue_.displace();
+        const auto displaced = queue.displace();
         decrement_waiting(worker_state);
         (*displaced)->set_ticket(std::nullopt);
         (*displaced)->refuse(error_kind::queue_full);
     }
 }
 
-// Returns whether the call would be answered after its deadline if it waited.
-bool worker::would_miss_deadline(const proxied_call& call,
-                                 const worker_service_state& worker_state)
+// Returns when the waiting calls of the class are expected to start.
+start_schedule
+worker::schedule_of(traffic_class value,
+                    const worker_service_state& worker_state) const
 {
-    admission_input input;
-    input.calls_ahead_ = worker_state.queue_.size_ahead_of(call.priority());
-    input.time_left_ = call.deadline() - cached_now_;
-    input.work_time_ = call.work_time();
-    return !can_meet_deadline(worker_state.rate_, input);
+    const auto& rate = worker_state.rates_[static_cast<std::size_t>(value)];
+    return {cached_now_, mean_interval(rate, cached_now_)};
 }
 
-// Removes the calls whose wait limit is over from the queue, since they would
-// be answered too late after a longer wait. Dispatches those that a target can
-// take at once and refuses the others.
+// Removes the calls whose latest start has passed from the queue. Dispatches
+// those that a target can take at once and refuses the others.
 void worker::refuse_expired(worker_service_state& worker_state)
 {
     const auto expired = worker_state.queue_.take_expired(now());
@@ -418,8 +425,35 @@
     }
 }
 
-// Dispatches a call whose wait limit is over to any target that has room for
-// it. Returns whether there is one.
+// Refuses the waiting calls that can't start in time by the rate at which calls
+// leave the queue now, so that their callers can try elsewhere at once.
+void worker::refuse_too_late(worker_service_state& worker_state)
+{
+    std::vector<std::shared_ptr<proxied_call>> refused;
+    for (std::size_t index = 0; index < traffic_class_count; ++index)
+    {
+        const auto value = static_cast<traffic_class>(index);
+        auto& queue = worker_state.queue_;
+        const auto late = calls_too_late(queue.latest_starts(value),
+                                         schedule_of(value, worker_state));
+        for (auto& call : queue.take(value, late))
+        {
+            decrement_waiting(worker_state);
+            call->set_ticket(std::nullopt);
+            refused.push_back(std::move(call));
+        }
+    }
+    for (const auto& call : refused)
+    {
+        if (call->is_active())
+        {
+            call->refuse(error_kind::deadline_unreachable);
+        }
+    }
+}
+
+// Dispatches a call whose latest start has passed to a target that can take it
+// now. Returns whether there is one.
 bool worker::dispatch_expired(proxied_call& call)
 {
     if (!call.refresh_service() || call.service().policy_ == nullptr ||
@@ -441,6 +475,7 @@
 void worker::dispatch_waiting(worker_service_state& worker_state)
 {
     refuse_expired(worker_state);
+    refuse_too_late(worker_state);
     while (!worker_state.queue_.empty())
     {
         // Keeps the chosen entry alive while calls are refused or dispatched.
@@ -472,8 +507,10 @@
             call->refuse(error_kind::no_target_available);
             continue;
         }
-        worker_state.rate_ = after_dequeue(
-            worker_state.rate_, worker_state.queue_.size(), cached_now_);
+        const auto value = call->priority();
+        auto& rate = worker_state.rates_[static_cast<std::size_t>(value)];
+        rate =
+            after_dequeue(rate, worker_state.queue_.size(value), cached_now_);
         call->dispatch_to(*chosen);
     }
 }
