Tell refused callers to return when room is expected

What callers saw: Retry-After between a tenth and a third of their time left, however many calls were ahead: a caller with 20 s left behind one call of 50 ms was sent away for 2 to 6.7 s. After refusals by targets with room it was 30 to 120 ms, whether calls of the rule take 5 ms or a second.

Cause: retry_after_delay and shed_retry_after_delay knew the time left alone.

After refusals with room the delay is spread over the time of one call.

--- a/modules/av_limits/start_schedule.cpp
+++ b/modules/av_limits/start_schedule.cpp
@@ -32,11 +32,16 @@
 
 } // namespace
 
+milliseconds wait_behind(const start_schedule& schedule,
+                         std::size_t calls_ahead) noexcept
+{
+    return schedule.interval_ * static_cast<double>(calls_ahead);
+}
+
 milliseconds start_of(const start_schedule& schedule,
                       std::size_t calls_ahead) noexcept
 {
-    return schedule.now_ +
-           schedule.interval_ * static_cast<double>(calls_ahead);
+    return schedule.now_ + wait_behind(schedule, calls_ahead);
 }
 
 std::vector<std::size_t>
--- a/modules/av_limits/start_schedule.hpp
+++ b/modules/av_limits/start_schedule.hpp
@@ -17,6 +17,11 @@
     milliseconds interval_{0.0};
 };
 
+// Returns the time that a call with so many calls ahead of it waits; zero if
+// the interval is not known.
+milliseconds wait_behind(const start_schedule& schedule,
+                         std::size_t calls_ahead) noexcept;
+
 // Returns the expected start of the call with so many calls ahead of it.
 milliseconds start_of(const start_schedule& schedule,
                       std::size_t calls_ahead) noexcept;
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -279,6 +279,11 @@
     }
 }
 
+void proxied_call::set_expected_wait(milliseconds value)
+{
+    expected_wait_ = value;
+}
+
 bool proxied_call::is_excluded(const target_state* state) const
 {
     return std::find(excluded_.begin(), excluded_.end(), state) !=
@@ -449,6 +454,7 @@
     last_failure_.reset();
     refused_with_room_ = false;
     target_summary_.reset();
+    expected_wait_.reset();
     vm_outcome_.clear();
     vm_reason_.clear();
 }
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -80,6 +80,8 @@
     // was acquired.
     void dispatch_to(const target_entry& target);
     void refuse(error_kind kind);
+    // Says when room for the call is expected, before it is refused.
+    void set_expected_wait(milliseconds value);
     bool is_excluded(const target_state* state) const;
     const service_entry& service() const;
     // Stores the summary of the targets when none was found for the call, for
@@ -206,6 +208,8 @@
     // load report showed room.
     bool refused_with_room_ = false;
     std::optional<target_summary> target_summary_;
+    // When room for the refused call is expected, if that is known.
+    std::optional<milliseconds> expected_wait_;
     milliseconds attempt_started_at_;
     // Load and slowdown of the target known at the start of the attempt.
     int load_at_start_ = 0;
--- a/modules/av_proxy/proxied_call_end.cpp
+++ b/modules/av_proxy/proxied_call_end.cpp
@@ -170,11 +170,16 @@
     {
         return immediate_retry_after;
     }
-    const auto time_left = deadline_ - worker_.now();
-    const double random = unit_interval(worker_.random_bits());
-    return reason == error_kind::retry_budget_spent && refused_with_room_
-               ? shed_retry_after_delay(time_left, random)
-               : retry_after_delay(time_left, random);
+    retry_after_input input;
+    input.time_left_ = deadline_ - worker_.now();
+    input.random_ = unit_interval(worker_.random_bits());
+    if (reason == error_kind::retry_budget_spent && refused_with_room_)
+    {
+        return shed_retry_after_delay(
+            input.time_left_, work_time(), input.random_);
+    }
+    input.expected_wait_ = expected_wait_;
+    return retry_after_delay(input);
 }
 
 // Returns whether the newest load report of the target shows room for one more
--- a/modules/av_proxy/tests/fault_test.cpp
+++ b/modules/av_proxy/tests/fault_test.cpp
@@ -424,8 +424,7 @@
 }
 
 // All targets of a service may refuse a part of their calls though they have
-// room. A long Retry-After would make the caller miss its objective for no
-// reason.
+// room. A long Retry-After would make the caller wait for no reason.
 BOOST_AUTO_TEST_CASE(retry_after_is_short_if_the_target_refused_with_room)
 {
     for (const bool has_room : {true, false})
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -183,6 +183,9 @@
     bool awaits_load_responses(worker_service_state& worker_state);
     choice_input input_for(const service_entry& service,
                            const proxied_call* call);
+    static void refuse_for_load(proxied_call& call,
+                                error_kind kind,
+                                milliseconds expected_wait);
     start_schedule schedule_of(traffic_class value,
                                const worker_service_state& worker_state) const;
     void dispatch_waiting(worker_service_state& worker_state);
--- a/modules/av_proxy/worker_queue.cpp
+++ b/modules/av_proxy/worker_queue.cpp
@@ -363,16 +363,19 @@
 {
     auto& queue = worker_state.queue_;
     const auto value = call.priority();
+    const auto latest_start = call.begin_wait();
+    const auto schedule = schedule_of(value, worker_state);
+    const auto expected_wait =
+        wait_behind(schedule, queue.size_ahead_of(value, latest_start));
     if (!queue.accepts(value))
     {
-        call.refuse(error_kind::queue_full);
+        refuse_for_load(call, error_kind::queue_full, expected_wait);
         return;
     }
-    const auto latest_start = call.begin_wait();
     const auto waiting = queue.latest_starts(value);
-    if (!has_place_for(latest_start, waiting, schedule_of(value, worker_state)))
+    if (!has_place_for(latest_start, waiting, schedule))
     {
-        call.refuse(error_kind::deadline_unreachable);
+        refuse_for_load(call, error_kind::deadline_unreachable, expected_wait);
         return;
     }
     if (queue.empty())
@@ -389,11 +392,28 @@
     worker_state.state_->waiting_calls_total_.fetch_add(1);
     while (queue.is_over_limit())
     {
-        const auto displaced = queue.displace();
+        const auto displaced = *queue.displace();
+        const auto lower = displaced->priority();
         decrement_waiting(worker_state);
-        (*displaced)->set_ticket(std::nullopt);
-        (*displaced)->refuse(error_kind::queue_full);
+        displaced->set_ticket(std::nullopt);
+        refuse_for_load(
+            *displaced,
+            error_kind::queue_full,
+            wait_behind(schedule_of(lower, worker_state), queue.size(lower)));
+    }
+}
+
+// Refuses a call for which too many others wait.
+void worker::refuse_for_load(proxied_call& call,
+                             error_kind kind,
+                             milliseconds expected_wait)
+{
+    // Zero if no rate is known yet, or no call is ahead.
+    if (expected_wait.count() > 0.0)
+    {
+        call.set_expected_wait(expected_wait);
     }
+    call.refuse(kind);
 }
 
 // Returns when the waiting calls of the class are expected to start.
@@ -430,12 +450,17 @@
 void worker::refuse_too_late(worker_service_state& worker_state)
 {
     std::vector<std::shared_ptr<proxied_call>> refused;
+    std::vector<milliseconds> expected_waits;
     for (std::size_t index = 0; index < traffic_class_count; ++index)
     {
         const auto value = static_cast<traffic_class>(index);
         auto& queue = worker_state.queue_;
-        const auto late = calls_too_late(queue.latest_starts(value),
-                                         schedule_of(value, worker_state));
+        const auto schedule = schedule_of(value, worker_state);
+        const auto late = calls_too_late(queue.latest_starts(value), schedule);
+        for (const auto position : late)
+        {
+            expected_waits.push_back(wait_behind(schedule, position));
+        }
         for (auto& call : queue.take(value, late))
         {
             decrement_waiting(worker_state);
@@ -443,11 +468,13 @@
             refused.push_back(std::move(call));
         }
     }
-    for (const auto& call : refused)
+    for (std::size_t index = 0; index < refused.size(); ++index)
     {
-        if (call->is_active())
+        if (refused[index]->is_active())
         {
-            call->refuse(error_kind::deadline_unreachable);
+            refuse_for_load(*refused[index],
+                            error_kind::deadline_unreachable,
+                            expected_waits[index]);
         }
     }
 }
