Log the work time and the expected wait that decided a refusal

An on-call engineer could not see from call_ended why a call was refused before its deadline. The line now has work_ms and, for a call refused for load, expected_wait_ms; docs/OPERATIONS.md explains them.

--- a/modules/av_proxy/proxied_call_end.cpp
+++ b/modules/av_proxy/proxied_call_end.cpp
@@ -300,6 +300,14 @@
             .field("usual_ms", typical_time(worker_state_->profile_).count())
             .field("retry_tokens", worker_state_->budget_.tokens_);
     }
+    if (work_ != nullptr)
+    {
+        event.field("work_ms", work_time().count());
+    }
+    if (expected_wait_)
+    {
+        event.field("expected_wait_ms", expected_wait_->count());
+    }
     if (target_summary_)
     {
         event.field("eligible", target_summary_->eligible_)
