--- a/modules/av_limits/tests/work_estimate_test.cpp
+++ b/modules/av_limits/tests/work_estimate_test.cpp
@@ -60,7 +60,8 @@
         double time = 50.0;
         for (int part = 0; part < 3; ++part)
         {
-            const auto number = static_cast<std::uint64_t>(i * 3 + part);
+            const auto number = static_cast<std::uint64_t>(i) * 3U +
+                                static_cast<std::uint64_t>(part);
             time += 50.0 * unit_interval(mix_bits(number));
         }
         const bool is_within = time <= likely_work_time(estimate).count();
