Expect the mean work of a rule, and forget it without newer runs

What callers would have seen: after targets had been slow without reporting it, every call of a rule refused at once for good, since the mean and twice the mean deviation of its times exceeded the time that its callers have, and refused calls measure nothing.

Cause: a bound that may lie above every run that was measured.

Change: the mean, which lies below the time that callers with those runs had; an estimate without a run for 10 s is forgotten.

Evidence: work_estimate_suite/calls_that_may_end_in_time_are_not_ruled_out, first with calls of 48 and 390 ms by turns, failed before (578 against 400 ms); it is a property over any times now.

--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -329,7 +329,7 @@
 
 milliseconds proxied_call::work_time() const
 {
-    return likely_work_time(*work_);
+    return expected_work_time(*work_, worker_.last_time());
 }
 
 milliseconds proxied_call::begin_wait()
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -92,7 +92,7 @@
     bool refresh_service();
     traffic_class priority() const;
     milliseconds deadline() const;
-    // Time within which the call probably ends at a target that is not slowed.
+    // Time that the call is expected to take at a target that is not slowed.
     milliseconds work_time() const;
     // Starts the wait for a target. Returns the point in time at which the call
     // stops waiting.
--- a/modules/av_proxy/proxied_call_response.cpp
+++ b/modules/av_proxy/proxied_call_response.cpp
@@ -260,7 +260,7 @@
     if (!to_vm_ && !response_failed_)
     {
         record_latency(*target_, time, target_slots_);
-        *work_ = after_run(*work_, slowdown_at_start_, time);
+        *work_ = after_run(*work_, slowdown_at_start_, time, now);
         worker_state_->profile_ = after_call(
             worker_state_->profile_, load_at_start_, slowdown_at_start_, time);
     }
--- a/modules/av_proxy/worker.cpp
+++ b/modules/av_proxy/worker.cpp
@@ -228,6 +228,11 @@
     return time;
 }
 
+milliseconds worker::last_time() const
+{
+    return cached_now_;
+}
+
 std::uint64_t worker::random_bits()
 {
     return random_();
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -102,6 +102,8 @@
     // Returns the monotonic time; logs and records a pause of the thread since
     // the last call.
     milliseconds now();
+    // Returns the time that now() returned last.
+    milliseconds last_time() const;
     std::uint64_t random_bits();
     const std::shared_ptr<const routing_table>& table();
     std::size_t index() const;
--- a/modules/av_routing/choice_policy.hpp
+++ b/modules/av_routing/choice_policy.hpp
@@ -28,8 +28,8 @@
     std::uint64_t sequence_ = 0;
     // Calls of the service that wait at this VM, including the one to be sent.
     std::size_t waiting_calls_ = 1;
-    // Time within which most calls of this kind end at a target that is not
-    // slowed; zero before the first one.
+    // Time that the call is expected to take at a target that is not slowed;
+    // zero if that is not known.
     milliseconds work_time_{0.0};
     // Time until the call's deadline.
     milliseconds time_left_{0.0};
