Refuse no call by a rate from before a pause

What callers would have seen: 503 deadline_unreachable though slots were free, when several calls came together after a slow time had ended; and at the moment when targets were back after a pause, since the pause itself counted as an interval between dequeues (2.3 s where calls are dequeued each 20 ms).

Cause: a measurement had no end, and a pause was taken for the rate after it.

Change: the rate is not known after a second without a measurement or without a dequeue, and is measured anew. A pause is no longer extrapolated while it lasts: calls wait then until their latest start.

--- a/benches/policy_bench/dispatcher.hpp
+++ b/benches/policy_bench/dispatcher.hpp
@@ -70,18 +70,19 @@
         const auto& rate = rates_[static_cast<std::size_t>(call_class)];
         return anvilturn::has_place_for(latest_start,
                                         queue_.latest_starts(call_class),
-                                        {now, mean_interval(rate, now)});
+                                        {now, mean_interval(rate)});
     }
 
     // Adds a call to the queue; see call_queue::push.
     void enqueue(int call,
                  anvilturn::traffic_class call_class,
-                 anvilturn::milliseconds latest_start)
+                 anvilturn::milliseconds latest_start,
+                 double now_ms)
     {
         if (queue_.size(call_class) == 0)
         {
             auto& rate = rates_[static_cast<std::size_t>(call_class)];
-            rate = at_first_wait(rate);
+            rate = at_first_wait(rate, anvilturn::milliseconds(now_ms));
         }
         queue_.push(call, call_class, latest_start);
     }
--- a/benches/policy_bench/service_simulation.cpp
+++ b/benches/policy_bench/service_simulation.cpp
@@ -255,7 +255,7 @@
     {
         return refuse(call_number);
     }
-    current_dispatcher.enqueue(call_number, call_class, latest_start);
+    current_dispatcher.enqueue(call_number, call_class, latest_start, now_ms_);
     while (queue.is_over_limit())
     {
         refuse(*queue.displace());
--- a/modules/av_limits/admission.cpp
+++ b/modules/av_limits/admission.cpp
@@ -1,6 +1,5 @@
 #include <av_limits/admission.hpp>
 
-#include <algorithm>
 #include <cmath>
 
 namespace anvilturn
@@ -9,14 +8,26 @@
 namespace
 {
 
-// Age at which a measurement has lost most of its weight: long enough for a VM
-// with few calls to dequeue some, short enough to follow a change of the load
-// within the deadlines of calls.
+// Age at which a measurement has lost most of its weight, and after which the
+// rate is not known: long enough for a VM with few calls to dequeue some, short
+// enough to follow a change of the load within the deadlines of calls.
 constexpr milliseconds rate_memory(1000.0);
 
-double weight_after(milliseconds age) noexcept
+drain_rate without_measurements(drain_rate rate) noexcept
 {
-    return std::exp(-(age / rate_memory));
+    rate.waiting_time_ = milliseconds(0.0);
+    rate.dequeues_ = 0.0;
+    return rate;
+}
+
+drain_rate
+with_interval(drain_rate rate, milliseconds interval, milliseconds now) noexcept
+{
+    const double weight = std::exp(-(interval / rate_memory));
+    rate.waiting_time_ = rate.waiting_time_ * weight + interval;
+    rate.dequeues_ = rate.dequeues_ * weight + 1.0;
+    rate.measured_at_ = now;
+    return rate;
 }
 
 } // namespace
@@ -28,37 +39,25 @@
     if (rate.had_waiting_calls_)
     {
         const auto interval = now - rate.last_dequeue_at_;
-        const double weight = weight_after(interval);
-        rate.waiting_time_ = rate.waiting_time_ * weight + interval;
-        rate.dequeues_ = rate.dequeues_ * weight + 1.0;
+        rate = interval > rate_memory ? without_measurements(rate)
+                                      : with_interval(rate, interval, now);
     }
     rate.last_dequeue_at_ = now;
     rate.had_waiting_calls_ = still_waiting > 0;
     return rate;
 }
 
-drain_rate at_first_wait(drain_rate rate) noexcept
+drain_rate at_first_wait(drain_rate rate, milliseconds now) noexcept
 {
     rate.had_waiting_calls_ = false;
-    return rate;
+    return now - rate.measured_at_ > rate_memory ? without_measurements(rate)
+                                                 : rate;
 }
 
-milliseconds mean_interval(const drain_rate& rate, milliseconds now) noexcept
+milliseconds mean_interval(const drain_rate& rate) noexcept
 {
-    if (rate.dequeues_ <= 0.0)
-    {
-        return milliseconds(0.0);
-    }
-    const auto mean = rate.waiting_time_ * (1.0 / rate.dequeues_);
-    const auto since_last = now - rate.last_dequeue_at_;
-    if (!rate.had_waiting_calls_ || since_last <= mean)
-    {
-        return mean;
-    }
-    const double weight = weight_after(since_last);
-    const double dequeues = std::max(1.0, rate.dequeues_ * weight);
-    const auto waiting_time = rate.waiting_time_ * weight + since_last;
-    return std::max(mean, waiting_time * (1.0 / dequeues));
+    return rate.dequeues_ > 0.0 ? rate.waiting_time_ * (1.0 / rate.dequeues_)
+                                : milliseconds(0.0);
 }
 
 milliseconds latest_start(milliseconds deadline,
--- a/modules/av_proxy/worker_queue.cpp
+++ b/modules/av_proxy/worker_queue.cpp
@@ -385,7 +385,7 @@
     if (waiting.empty())
     {
         auto& rate = worker_state.rates_[static_cast<std::size_t>(value)];
-        rate = at_first_wait(rate);
+        rate = at_first_wait(rate, cached_now_);
     }
     call.set_ticket(queue.push(std::move(shared), value, latest_start));
     worker_state.state_->waiting_[index_].fetch_add(1);
@@ -422,7 +422,7 @@
                     const worker_service_state& worker_state) const
 {
     const auto& rate = worker_state.rates_[static_cast<std::size_t>(value)];
-    return {cached_now_, mean_interval(rate, cached_now_)};
+    return {cached_now_, mean_interval(rate)};
 }
 
 // Removes the calls whose latest start has passed from the queue. Dispatches
--- a/modules/av_routing/ask_first_policy.cpp
+++ b/modules/av_routing/ask_first_policy.cpp
@@ -140,8 +140,8 @@
 
 // Returns whether targets of other failure domains are considered. Calls stay
 // in the local domain, since traffic between domains is slower and costs more,
-// unless it has no target, a round of load queries there has found none, or no
-// time is left for one.
+// unless no target there can take one, a round of load queries has found none,
+// or no time is left for one.
 bool may_use_other_domains(const choice_input& input) noexcept
 {
     const auto spare_time = input.time_left_ - input.work_time_;
