Split the choice of a target off the worker's queue

Whether a service's policy queries first stood in five places and is one function, as is the rate of a class. No behaviour changes: av_proxy_test passes.

--- a/modules/av_proxy/routing_table.cpp
+++ b/modules/av_proxy/routing_table.cpp
@@ -117,6 +117,12 @@
 
 } // namespace
 
+bool uses_load_queries(const service_entry& service) noexcept
+{
+    return service.policy_ != nullptr &&
+           service.policy_->select_load_queries_ != nullptr;
+}
+
 const service_entry* routing_table::find_service(std::string_view name) const
 {
     const auto found = services_.find(name);
--- a/modules/av_proxy/routing_table.hpp
+++ b/modules/av_proxy/routing_table.hpp
@@ -44,6 +44,10 @@
     bool is_dispatcher_vm_ = false;
 };
 
+// Returns whether the service's policy queries the load of targets before it
+// chooses one.
+bool uses_load_queries(const service_entry& service) noexcept;
+
 // Immutable snapshot of what the request path needs from a release and from the
 // list of VMs. Shared states are carried over from one table to the next.
 struct routing_table
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -50,10 +50,15 @@
     {
     }
 
+    // Returns the rate at which the calls of the class leave the queue.
+    drain_rate& rate_of(traffic_class value)
+    {
+        return rates_[static_cast<std::size_t>(value)];
+    }
+
     std::shared_ptr<service_state> state_;
     call_queue<std::shared_ptr<proxied_call>> queue_;
     retry_budget budget_;
-    // Rate at which the calls of each class leave the queue.
     std::array<drain_rate, traffic_class_count> rates_;
     // How long calls take at targets of each load.
     load_profile profile_;
@@ -189,7 +194,7 @@
                                 error_kind kind,
                                 milliseconds expected_wait);
     start_schedule schedule_of(traffic_class value,
-                               const worker_service_state& worker_state) const;
+                               worker_service_state& worker_state) const;
     void dispatch_waiting(worker_service_state& worker_state);
     std::shared_ptr<proxied_call> pop(worker_service_state& worker_state);
     void refuse_expired(worker_service_state& worker_state);
@@ -200,6 +205,7 @@
     void schedule_waiting_poll(std::chrono::milliseconds interval);
     void schedule_pending_poll();
     void resume_pending();
+    static void earn_load_query_tokens(worker_service_state& worker_state);
     void refill_load_query_tokens();
     void tick();
     void drop_removed_state();
