--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -33,7 +33,7 @@
                                                       milliseconds(0.0)};
 // Other VMs check less often and list later: after an outage the watchers reach
 // the store first and publish its contents within the delay, so the calls of
-// the others would only add cost.
+// the others would only load the store, whose rate all VMs share.
 constexpr store_call_intervals subscriber_call_intervals{milliseconds(1500.0),
                                                          milliseconds(800.0),
                                                          milliseconds(4000.0),
--- a/modules/av_limits/admission.hpp
+++ b/modules/av_limits/admission.hpp
@@ -43,8 +43,7 @@
 
 // Returns the latest point in time at which a call that needs the work time can
 // start and still be answered before its deadline. A waiting call is refused
-// then, since an answer is worth having to its caller until the deadline and
-// not later.
+// then, since its caller can use an answer until the deadline and not later.
 milliseconds latest_start(milliseconds deadline,
                           milliseconds work_time) noexcept;
 
