--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -38,6 +38,9 @@
 class proxied_call;
 
 constexpr std::size_t scratch_bytes = 64 * 1024;
+// Fraction of the idle timeout of a target within which its idle connections
+// are reused.
+constexpr double target_idle_limit_factor = 0.7;
 
 // One worker's state of one service: its queue of waiting calls, and the retry
 // budget and statistics of its calls.
