Continue a listing after any name, and end one that gets no further

What callers saw: an entry whose name held &, +, #, % or a blank ended a page of the list of targets. After a restart the VMs listed the same page for ever, or were refused for ever, and almost no call was served.

Cause: the name went into the query as it is, so the store read another name or no valid request, and nothing noticed that a listing repeated itself.

A listing that got no further is logged (store_listing_stuck), passes on what it has as changes, so that nothing that was known is removed, and is tried again after 5 s. The log line of an unreadable object shows at most 100 bytes of its name.

--- a/modules/av_feed/collection_feed.hpp
+++ b/modules/av_feed/collection_feed.hpp
@@ -4,14 +4,16 @@
 #include <av_core/error.hpp>
 #include <av_core/log_event.hpp>
 #include <av_feed/collection_source.hpp>
+#include <av_feed/listing_progress.hpp>
 #include <av_net/duration.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
-#include <iterator>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -45,6 +47,7 @@
         , source_(std::move(source))
         , observer_(std::move(observer))
         , timer_(context)
+        , relisting_timer_(context)
     {
     }
 
@@ -63,6 +66,7 @@
     {
         ++generation_;
         timer_.cancel();
+        relisting_timer_.cancel();
         listed_ = false;
         watching_ = false;
         watch_suspected_ = false;
@@ -110,12 +114,15 @@
     // follow each other closely. The first change after a pause is not delayed,
     // since a watch is pending then.
     static constexpr milliseconds watch_batching_delay{600.0};
+    // Delay before a listing that could not be completed is tried again.
+    static constexpr milliseconds relisting_delay{5000.0};
+    static constexpr std::size_t max_logged_name_length = 100;
 
     void list(const std::string& after)
     {
         if (after.empty())
         {
-            objects_.clear();
+            progress_ = listing_progress<Value>();
         }
         source_.list_(after,
                       [this, generation = generation_, first = after.empty()](
@@ -146,18 +153,53 @@
             // while further pages are read.
             revision_ = page->revision_;
         }
-        std::move(page->objects_.begin(),
-                  page->objects_.end(),
-                  std::back_inserter(objects_));
-        if (page->has_more_ && !objects_.empty())
+        const auto step = progress_.add(*std::move(page));
+        if (step == listing_step::read_next_page)
         {
-            list(objects_.back().name_);
+            list(progress_.next_name());
             return;
         }
+        const auto objects = progress_.take_objects();
         listed_ = true;
-        log_decode_errors(objects_);
+        log_decode_errors(objects);
         watch();
-        observer_.on_listing_(std::exchange(objects_, {}));
+        if (step == listing_step::stuck)
+        {
+            apply_incomplete_listing(objects);
+            return;
+        }
+        observer_.on_listing_(objects);
+    }
+
+    // Passes on what was listed without removing anything else, since objects
+    // that were not reached may still exist.
+    void
+    apply_incomplete_listing(const std::vector<listed_object<Value>>& objects)
+    {
+        log_event(log_level::warning, "store_listing_stuck")
+            .field("collection", name_)
+            .field("objects", static_cast<std::uint64_t>(objects.size()))
+            .write();
+        schedule_relisting();
+        std::vector<object_change<Value>> changes;
+        for (const auto& object : objects)
+        {
+            changes.push_back({object, false, false});
+        }
+        observer_.on_changes_(std::move(changes));
+    }
+
+    void schedule_relisting()
+    {
+        relisting_timer_.expires_after(to_duration(relisting_delay));
+        relisting_timer_.async_wait(
+            [this](const boost::system::error_code& error)
+            {
+                if (!error && listed_)
+                {
+                    start();
+                }
+            });
     }
 
     void apply_check_result(store_revision since, bool has_changes)
@@ -272,7 +314,9 @@
         }
         log_event(log_level::warning, "store_object_unreadable")
             .field("collection", name_)
-            .field("object", object.name_)
+            .field("object",
+                   std::string_view(object.name_)
+                       .substr(0, max_logged_name_length))
             .field("revision", object.revision_)
             .field("problem", object.decode_error_)
             .write();
@@ -282,7 +326,8 @@
     collection_source<Value> source_;
     collection_observer<Value> observer_;
     boost::asio::steady_timer timer_;
-    std::vector<listed_object<Value>> objects_;
+    boost::asio::steady_timer relisting_timer_;
+    listing_progress<Value> progress_;
     store_revision revision_ = 0;
     // Results of calls from an earlier generation are ignored.
     int generation_ = 0;
