Take only an orderly end for the end of a response without a length

What callers saw: a target answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the write that failed took the socket's error (ECONNRESET). The read that followed saw an ordinary end of the connection, and reader_.finish() calls a response without a length complete at that point. http_exchange did the same.

Change: after a failed write the end of the connection no longer completes such a response: the attempt ends as target_answer_lost, and the exchange as response_lost. Also EPIPE counts, after which the target may have closed in order: that the answer is whole is then not known. A response with a length or in chunks tells its own end and is complete as before, and so is one whose connection ends in order while the upload still waits.

--- a/modules/av_net/http_exchange.cpp
+++ b/modules/av_net/http_exchange.cpp
@@ -140,6 +140,7 @@
     }
     // After any other error the server may still have sent a response, for
     // instance if it refuses a body without reading all of it.
+    write_failed_ = error.failed();
     http::async_read_header(*stream_,
                             buffer_,
                             parser_,
@@ -186,6 +187,14 @@
         fail(http_outcome::response_lost,
              "incomplete HTTP response: " + error.message());
     }
+    else if (write_failed_ && parser_.need_eof())
+    {
+        // The failed write took the socket's error, so a reset looks like the
+        // orderly end of a response without a length.
+        fail(http_outcome::response_lost,
+             "incomplete HTTP response: the connection broke while the request "
+             "was sent");
+    }
     else
     {
         keeps_alive_ = parser_.keep_alive() && buffer_.size() == 0;
--- a/modules/av_net/http_exchange.hpp
+++ b/modules/av_net/http_exchange.hpp
@@ -90,6 +90,7 @@
     std::size_t body_limit_;
     milliseconds timeout_;
     bool keeps_alive_ = false;
+    bool write_failed_ = false;
     http_callback done_;
 };
 
--- a/modules/av_platform/tests/fixed_response_server.hpp
+++ b/modules/av_net/tests/fixed_response_server.hpp
@@ -1,5 +1,5 @@
-#ifndef AV_PLATFORM_TESTS_FIXED_RESPONSE_SERVER_HPP
-#define AV_PLATFORM_TESTS_FIXED_RESPONSE_SERVER_HPP
+#ifndef AV_NET_TESTS_FIXED_RESPONSE_SERVER_HPP
+#define AV_NET_TESTS_FIXED_RESPONSE_SERVER_HPP
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- /dev/null
+++ b/modules/av_net/tests/http_exchange_test.cpp
@@ -0,0 +1,95 @@
+#include "fixed_response_server.hpp"
+
+#include <av_net/http_caller.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace anvilturn;
+using namespace anvilturn::testing;
+
+namespace
+{
+
+constexpr std::size_t body_limit = 65536;
+// More than all buffers on the path take together.
+constexpr std::size_t large_body_bytes = std::size_t{64} * 1024 * 1024;
+constexpr milliseconds call_timeout{10000.0};
+
+// Makes one call to a server that answers with the bytes as soon as the header
+// of the request has arrived.
+http_result call(const std::string& response,
+                 server_behavior behavior,
+                 std::size_t request_body_bytes = 0)
+{
+    asio::io_context context;
+    fixed_response_server server(context, response, behavior);
+    http_caller caller(context, server.address(), body_limit);
+    http_request request(boost::beast::http::verb::post, "/", 11);
+    request.body().assign(request_body_bytes, 'x');
+    http_result result;
+    caller.call(std::move(request),
+                call_timeout,
+                [&](http_result answer)
+                {
+                    result = std::move(answer);
+                    server.stop();
+                });
+    context.run();
+    return result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(http_exchanges)
+
+BOOST_AUTO_TEST_CASE(a_response_without_length_ends_with_its_connection)
+{
+    const auto result =
+        call("HTTP/1.1 200 OK\r\n\r\nwhole", server_behavior::close);
+    BOOST_TEST((result.outcome_ == http_outcome::answered));
+    BOOST_TEST(result.http_response_.body() == "whole");
+}
+
+// The server closes with bytes of the request unread, which resets the
+// connection.
+BOOST_AUTO_TEST_CASE(a_response_without_length_is_incomplete_after_a_reset)
+{
+    const auto result = call("HTTP/1.1 200 OK\r\n\r\npart",
+                             server_behavior::close,
+                             large_body_bytes);
+    BOOST_TEST((result.outcome_ == http_outcome::response_lost));
+}
+
+// A server may refuse a long request without reading it.
+BOOST_AUTO_TEST_CASE(a_response_with_a_length_is_complete_after_a_reset)
+{
+    const auto result =
+        call("HTTP/1.1 413 Too Large\r\nContent-Length: 3\r\n\r\nbig",
+             server_behavior::close,
+             large_body_bytes);
+    BOOST_TEST((result.outcome_ == http_outcome::answered));
+    BOOST_TEST(result.http_response_.result_int() == 413U);
+}
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_response_are_malformed)
+{
+    const std::vector<std::string> responses{
+        "HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX\x01: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX(A): 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-A: \x01\r\nContent-Length: 0\r\n\r\n",
+        "SSH-2.0-odd\r\n\r\n"};
+    for (const auto& response : responses)
+    {
+        BOOST_TEST((call(response, server_behavior::keep_open).outcome_ ==
+                    http_outcome::malformed),
+                   response);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/av_platform/tests/platform_client_test.cpp
+++ b/modules/av_platform/tests/platform_client_test.cpp
@@ -1,6 +1,5 @@
-#include "fixed_response_server.hpp"
-
 #include <av_core/error.hpp>
+#include <av_net/tests/fixed_response_server.hpp>
 #include <av_platform/av_platform.hpp>
 
 #include <boost/asio/io_context.hpp>
--- a/modules/av_proxy/target_connection.cpp
+++ b/modules/av_proxy/target_connection.cpp
@@ -113,6 +113,7 @@
     else if (error)
     {
         // A response may have arrived before the target closed: read it first.
+        write_failed_ = true;
         output_.clear();
         request_complete_ = false;
         if (!any_bytes_sent_)
@@ -273,7 +274,10 @@
         wait_readable();
         return;
     }
-    if (error == asio::error::eof && header_delivered_ && reader_.finish())
+    // A failed write takes the socket's error, and the end of a connection that
+    // was reset then looks like an orderly one.
+    const bool ended_in_order = error == asio::error::eof && !write_failed_;
+    if (ended_in_order && header_delivered_ && reader_.finish())
     {
         end_response(false);
         return;
--- a/modules/av_proxy/target_connection.hpp
+++ b/modules/av_proxy/target_connection.hpp
@@ -123,6 +123,7 @@
     bool paused_ = false;
     bool header_delivered_ = false;
     bool any_bytes_sent_ = false;
+    bool write_failed_ = false;
     bool request_complete_ = false;
     bool discarding_response_ = false;
 };
--- a/modules/av_proxy/tests/relay_fixture.hpp
+++ b/modules/av_proxy/tests/relay_fixture.hpp
@@ -174,6 +174,13 @@
         return acceptor_.local_endpoint();
     }
 
+    // Limits the bytes that connections accepted from now on take unread.
+    void set_receive_buffer(int bytes)
+    {
+        acceptor_.set_option(
+            boost::asio::socket_base::receive_buffer_size(bytes));
+    }
+
     test_connection accept()
     {
         return test_connection(acceptor_.accept());
