Refuse numbers that are no status code wherever a status line is read

What callers saw: on other systems an answer with status 000 was passed on. Here 000 to 099 were refused already in the responses of targets; 600 to 999 were passed on, and http_exchange (store, platform, probes, other VMs) took any three digits.

Cause: two parsers read status lines; one had only a lower bound, the other, Beast's own, has none.

Change: is_http_status (100 to 599, RFC 9110 section 15) decides in both. Such a response is malformed.

Evidence: bytes_that_are_no_response_are_malformed failed for 000, 099 and 600, and passes now.

--- a/modules/av_core/av_core.hpp
+++ b/modules/av_core/av_core.hpp
@@ -7,6 +7,7 @@
 
 #include <av_core/comparison.hpp>
 #include <av_core/error.hpp>
+#include <av_core/http_status.hpp>
 #include <av_core/log_event.hpp>
 #include <av_core/log_rate_limiter.hpp>
 #include <av_core/milliseconds.hpp>
--- a/modules/av_http/response_reader.cpp
+++ b/modules/av_http/response_reader.cpp
@@ -1,5 +1,6 @@
 #include <av_http/response_reader.hpp>
 
+#include <av_core/http_status.hpp>
 #include <av_http/message_parser.hpp>
 
 #include <charconv>
@@ -42,7 +43,7 @@
         head_.status_ = status;
         head_.reason_phrase_.assign(detail::to_std(phrase));
         http_1_0_ = version < http_1_1;
-        if (status < 100 || status == switching_protocols)
+        if (!is_http_status(status) || status == switching_protocols)
         {
             error = detail::http_error::bad_status;
         }
--- a/modules/av_net/http_exchange.cpp
+++ b/modules/av_net/http_exchange.cpp
@@ -1,5 +1,6 @@
 #include <av_net/http_exchange.hpp>
 
+#include <av_core/http_status.hpp>
 #include <av_net/duration.hpp>
 
 #include <netinet/tcp.h>
@@ -160,6 +161,10 @@
     {
         error = http::make_error_code(http::error::body_limit);
     }
+    if (!error && !is_http_status(static_cast<int>(parser_.get().result_int())))
+    {
+        error = http::make_error_code(http::error::bad_status);
+    }
     if (error || parser_.is_done())
     {
         on_read(error);
--- a/modules/av_net/tests/http_exchange_test.cpp
+++ b/modules/av_net/tests/http_exchange_test.cpp
@@ -78,6 +78,9 @@
 BOOST_AUTO_TEST_CASE(bytes_that_are_no_response_are_malformed)
 {
     const std::vector<std::string> responses{
+        "HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 099 Odd\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 600 Odd\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nX\x01: 1\r\nContent-Length: 0\r\n\r\n",
