Answer or refuse late calls of a VM that stops, before it ends

What callers saw: in a planned stop, calls that came late in the grace were passed on, and at its end they were cut with no answer, among them calls that may not be repeated.

Cause: a VM that stops took calls with their whole deadline, whatever was left of its own time, and the end of the process closed the connections of those that still ran. A request whose header had arrived before the VM began to finish was passed on when its body came, however late.

Change: begin_drain is told how long this VM still runs. The deadlines of calls that begin from then on, and once it finishes of all that run, end 100 ms before, so the target is told the shorter time and the caller gets an answer (unknown). A call whose usual work does not fit any more is refused at once as not run (vm_stopping, return at once to another VM), and once the VM finishes no call is passed on for the first time. A response that was relayed in part is still cut: it can't be completed.

--- a/modules/av_daemon/daemon.cpp
+++ b/modules/av_daemon/daemon.cpp
@@ -553,9 +553,9 @@
     stop_actions make_stop_actions()
     {
         stop_actions actions;
-        actions.fail_readiness_ = [this]
+        actions.fail_readiness_ = [this](milliseconds left)
         {
-            request_path_->begin_drain();
+            request_path_->begin_drain(left);
         };
         actions.leave_fleet_ = [this]
         {
--- a/modules/av_daemon/graceful_stop.cpp
+++ b/modules/av_daemon/graceful_stop.cpp
@@ -71,7 +71,7 @@
     switch (action)
     {
     case shutdown_action::fail_readiness:
-        actions_.fail_readiness_();
+        actions_.fail_readiness_(settings_.deadline_);
         return;
     case shutdown_action::leave_fleet:
         actions_.leave_fleet_();
--- a/modules/av_daemon/graceful_stop.hpp
+++ b/modules/av_daemon/graceful_stop.hpp
@@ -21,8 +21,8 @@
 struct stop_actions
 {
     // Fails readiness checks so that the balancer sends callers elsewhere;
-    // callers that still arrive are served.
-    std::function<void()> fail_readiness_;
+    // callers that still arrive are served if they can be in the time left.
+    std::function<void(milliseconds left)> fail_readiness_;
     std::function<void()> leave_fleet_;
     std::function<void()> stop_accepting_;
     // Waits for running calls to end, for at most the time left. Called on a
--- a/modules/av_daemon/tests/graceful_stop_test.cpp
+++ b/modules/av_daemon/tests/graceful_stop_test.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr std::chrono::seconds watchdog{20};
+constexpr milliseconds deadline{2000.0};
 
 // A graceful stop with actions that only record that they were called.
 struct graceful_stop_fixture
@@ -22,9 +23,13 @@
     {
         shutdown_settings settings;
         settings.balancer_lag_ = milliseconds(5.0);
-        settings.deadline_ = milliseconds(2000.0);
+        settings.deadline_ = deadline;
         stop_actions actions;
-        actions.fail_readiness_ = record_step("unready");
+        actions.fail_readiness_ = [this](milliseconds left)
+        {
+            BOOST_TEST((left == deadline));
+            steps_.emplace_back("unready");
+        };
         actions.leave_fleet_ = record_step("leave");
         actions.stop_accepting_ = record_step("close");
         actions.finish_calls_ = [calls_end](milliseconds left)
--- a/modules/av_proxy/caller_connection.cpp
+++ b/modules/av_proxy/caller_connection.cpp
@@ -92,6 +92,12 @@
     }
 }
 
+void caller_connection::limit_deadlines(milliseconds latest)
+{
+    exchanges_.limit_deadlines(latest);
+    update_timer();
+}
+
 const exchange_queue& caller_connection::exchanges() const
 {
     return exchanges_;
--- a/modules/av_proxy/caller_connection.hpp
+++ b/modules/av_proxy/caller_connection.hpp
@@ -46,6 +46,9 @@
     // tell whether it ran.
     void close_if_unused();
 
+    // Makes the calls that run end by the given point in time.
+    void limit_deadlines(milliseconds latest);
+
     // Used by the exchanges.
     const exchange_queue& exchanges() const;
     // Bytes to be sent to the caller. flush sends as much of them as the socket
--- a/modules/av_proxy/exchange_queue.cpp
+++ b/modules/av_proxy/exchange_queue.cpp
@@ -134,6 +134,14 @@
     }
 }
 
+void exchange_queue::limit_deadlines(milliseconds latest)
+{
+    for (const auto& exchange : exchanges_)
+    {
+        exchange->call().limit_deadline(latest);
+    }
+}
+
 std::optional<milliseconds> exchange_queue::due() const
 {
     std::optional<milliseconds> earliest;
--- a/modules/av_proxy/exchange_queue.hpp
+++ b/modules/av_proxy/exchange_queue.hpp
@@ -55,6 +55,8 @@
     // Returns when the time limit of a call is next due; nothing if no call is
     // active.
     std::optional<milliseconds> due() const;
+    // See proxied_call::limit_deadline.
+    void limit_deadlines(milliseconds latest);
 
     // Reports its time limit to one call that is due. Returns whether there was
     // one.
--- a/modules/av_proxy/path_core.hpp
+++ b/modules/av_proxy/path_core.hpp
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <vector>
 
@@ -51,6 +52,10 @@
     std::atomic<bool> draining_{false};
     std::atomic<bool> accepting_{true};
     std::atomic<bool> finishing_{false};
+    // When a VM that stops ends the calls that still run, so that their callers
+    // get an answer; later than any call unless it stops.
+    std::atomic<double> calls_end_at_ms_{
+        std::numeric_limits<double>::infinity()};
 
     // See freshness_input.
     std::atomic<double> resumed_at_ms_{-1.0};
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -77,7 +77,7 @@
     {
         allowed = std::min(allowed, rule_->timeout_);
     }
-    deadline_ = started_at_ + allowed;
+    deadline_ = std::min(started_at_ + allowed, worker_.calls_end_at());
     if (head.expects_continue_)
     {
         link_.output().append("HTTP/1.1 100 Continue\r\n\r\n");
@@ -233,6 +233,11 @@
     }
 }
 
+void proxied_call::limit_deadline(milliseconds latest)
+{
+    deadline_ = std::min(deadline_, latest);
+}
+
 milliseconds proxied_call::due() const
 {
     if (connecting_)
@@ -499,6 +504,11 @@
 
 void proxied_call::route_call()
 {
+    if (attempts_ == 0 && is_too_late_for_stop())
+    {
+        refuse(error_kind::vm_stopping);
+        return;
+    }
     if (worker_.now() >= deadline_)
     {
         refuse(error_kind::deadline_unreachable);
@@ -519,6 +529,13 @@
     worker_.dispatch_or_enqueue(*this, link_.share_call());
 }
 
+// Returns whether this VM stops before the work of the call can be done.
+bool proxied_call::is_too_late_for_stop() const
+{
+    return worker_.core().finishing_.load(relaxed) ||
+           worker_.now() >= latest_start(worker_.calls_end_at(), work_time());
+}
+
 bool proxied_call::should_forward() const
 {
     const auto* dispatcher = service_->dispatcher_target_.state_.get();
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -66,6 +66,8 @@
 
     // Point in time at which on_timeout is to be called.
     milliseconds due() const;
+    // Moves the deadline to the given point in time if it is later.
+    void limit_deadline(milliseconds latest);
     void on_timeout();
 
     bool is_active() const;
@@ -122,6 +124,7 @@
     bool answer_local_path();
     void answer_readiness_check();
     void route_call();
+    bool is_too_late_for_stop() const;
     bool should_forward() const;
     void start_attempt(const target_entry& target, bool to_vm);
     void send_body();
--- a/modules/av_proxy/request_path.cpp
+++ b/modules/av_proxy/request_path.cpp
@@ -23,6 +23,8 @@
 {
 
 constexpr std::size_t max_threads = 64;
+// Time before the end of a VM that stops in which its last answers are sent.
+constexpr milliseconds stop_answer_reserve{100.0};
 constexpr auto relaxed = std::memory_order_relaxed;
 
 struct running_thread
@@ -292,9 +294,13 @@
     implementation_->core_.isolated_.store(isolated);
 }
 
-void request_path::begin_drain()
+void request_path::begin_drain(milliseconds time_limit)
 {
-    implementation_->core_.draining_.store(true);
+    auto& core = implementation_->core_;
+    const auto at = monotonic_now() + time_limit - stop_answer_reserve;
+    core.calls_end_at_ms_.store(
+        std::min(core.calls_end_at_ms_.load(), at.count()));
+    core.draining_.store(true);
 }
 
 void request_path::stop_accepting()
@@ -309,7 +315,7 @@
 bool request_path::finish(milliseconds time_limit)
 {
     const auto point = monotonic_now() + time_limit;
-    begin_drain();
+    begin_drain(time_limit);
     stop_accepting();
     implementation_->core_.finishing_.store(true);
     for (const auto& worker : implementation_->core_.workers_)
--- a/modules/av_proxy/request_path.hpp
+++ b/modules/av_proxy/request_path.hpp
@@ -67,15 +67,18 @@
     // be reached.
     void set_isolated(bool isolated);
 
-    // Makes the balancer's readiness check fail; calls are still served.
-    void begin_drain();
+    // Makes the balancer's readiness check fail. Calls are still served, but
+    // for those that can't be answered within the time limit, after which this
+    // VM ends: they are refused as not run, so that another VM can serve them.
+    void begin_drain(milliseconds time_limit);
 
     // Closes the listening sockets; open connections are still served.
     void stop_accepting();
 
     // Lets running calls end, refuses waiting calls as not run, and closes
     // connections as they become idle. Blocks for at most the time limit; calls
-    // that run longer are aborted, and their callers see the outcome unknown.
+    // that run longer are answered before its end with the outcome unknown, or
+    // aborted if their response was relayed in part.
     // Returns whether every call ended in time.
     bool finish(milliseconds time_limit);
 
--- a/modules/av_proxy/tests/pipelining_test.cpp
+++ b/modules/av_proxy/tests/pipelining_test.cpp
@@ -244,7 +244,7 @@
 BOOST_AUTO_TEST_CASE(a_stopping_vm_answers_the_requests_that_run)
 {
     auto running = run({"a", "b"});
-    vm_.path().begin_drain();
+    vm_.path().begin_drain(milliseconds(60000.0));
     caller_.send(look_up("late"));
     running.at("a")->send(ok("first"));
     const auto first = caller_.read_header();
--- a/modules/av_proxy/tests/relay_test.cpp
+++ b/modules/av_proxy/tests/relay_test.cpp
@@ -170,7 +170,7 @@
     vm.path().set_ready(false);
     expect("503", "starting");
     vm.path().set_ready(true);
-    vm.path().begin_drain();
+    vm.path().begin_drain(milliseconds(60000.0));
     expect("503", "stopping");
 }
 
--- a/modules/av_proxy/tests/stop_test.cpp
+++ b/modules/av_proxy/tests/stop_test.cpp
@@ -1,6 +1,4 @@
-// A VM that stops while requests arrive. Its thread is held up meanwhile, as
-// under load, so that they lie unread in their sockets when it closes what is
-// not in use.
+// A VM that stops while requests arrive or run.
 
 #include "relay_fixture.hpp"
 
@@ -14,6 +12,9 @@
 namespace
 {
 
+// For calls that outlast the stop.
+constexpr milliseconds long_timeout(60000.0);
+constexpr milliseconds short_stop(600.0);
 // Longer than a VM that stops keeps an idle connection.
 constexpr milliseconds idle_time(700.0);
 // Long enough for finish to give its orders to the thread of the VM. If it did
@@ -30,7 +31,9 @@
         });
 }
 
-// A VM with an idle connection, whose thread then blocks until resume().
+// A VM with an idle connection, whose thread then blocks until resume(), as
+// under load: requests lie unread in their sockets when it closes what is not
+// in use.
 class busy_vm
 {
 public:
@@ -75,10 +78,101 @@
     test_connection idle_caller_;
 };
 
+// A VM whose calls may take long, and a caller of it.
+struct long_call_vm
+{
+    long_call_vm()
+        : vm_(with_long_timeout(make_release({target_.address()})))
+        , caller_(vm_.call())
+    {
+    }
+
+    static release with_long_timeout(release value)
+    {
+        value.rules_["kits"].timeout_ = long_timeout;
+        value.services_["kits"].default_deadline_ = long_timeout;
+        return value;
+    }
+
+    std::future<bool> finish(milliseconds time_limit)
+    {
+        return std::async(std::launch::async,
+                          [this, time_limit]
+                          {
+                              return vm_.path().finish(time_limit);
+                          });
+    }
+
+    scripted_target target_;
+    relay vm_;
+    test_connection caller_;
+};
+
+// Returns the milliseconds that a request gives the target.
+double deadline_in(const std::string& request_header)
+{
+    const std::string name = "Anvilturn-Deadline-Ms: ";
+    const auto at = request_header.find(name);
+    BOOST_TEST_REQUIRE(at != std::string::npos);
+    return std::stod(request_header.substr(at + name.size()));
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(stop)
 
+// The process ends before the work would: the caller must not be cut off.
+BOOST_AUTO_TEST_CASE(a_call_that_begins_late_is_answered_before_the_end)
+{
+    long_call_vm stopping;
+    stopping.vm_.path().begin_drain(short_stop);
+    stopping.caller_.send(post("/kits", "order"));
+    auto connection = stopping.target_.accept();
+    BOOST_TEST(deadline_in(connection.read_header()) <= short_stop.count());
+    auto finished = stopping.finish(short_stop);
+    BOOST_TEST(outcome_of(stopping.caller_.read_header()) ==
+               "unknown deadline_exceeded");
+    stopping.caller_.close();
+    BOOST_TEST(finished.get());
+}
+
+BOOST_AUTO_TEST_CASE(a_call_that_runs_too_long_is_answered_before_the_end)
+{
+    long_call_vm stopping;
+    stopping.caller_.send(post("/kits", "order"));
+    auto connection = stopping.target_.accept();
+    connection.read_header();
+    auto finished = stopping.finish(short_stop);
+    BOOST_TEST(outcome_of(stopping.caller_.read_header()) ==
+               "unknown deadline_exceeded");
+    stopping.caller_.close();
+    BOOST_TEST(finished.get());
+}
+
+// Its header arrived before; once the VM finishes, no call is passed on.
+BOOST_AUTO_TEST_CASE(a_request_that_is_complete_late_is_refused)
+{
+    long_call_vm stopping;
+    const auto request = post("/kits", "order");
+    const auto split = request.size() - 1;
+    stopping.caller_.send(request.substr(0, split));
+    wait_until(
+        [&]
+        {
+            return stopping.vm_.path().statistics().calls_in_flight_ == 1;
+        });
+    auto unused = stopping.vm_.call();
+    auto finished = stopping.finish(milliseconds(20000.0));
+    // A VM that finishes closes connections that are not in use.
+    BOOST_TEST(unused.read_header().empty());
+    stopping.caller_.send(request.substr(split));
+    BOOST_TEST(outcome_of(stopping.caller_.read_header()) ==
+               "not-run vm_stopping");
+    BOOST_TEST(!stopping.target_.has_pending_connection());
+    stopping.caller_.close();
+    BOOST_TEST(finished.get());
+}
+
 BOOST_AUTO_TEST_CASE(a_request_unread_on_an_idle_connection_is_answered)
 {
     busy_vm busy;
--- a/modules/av_proxy/worker.cpp
+++ b/modules/av_proxy/worker.cpp
@@ -164,6 +164,7 @@
                [this]
                {
                    refuse_waiting();
+                   limit_deadlines();
                    close_idle_caller_connections();
                });
 }
@@ -362,6 +363,20 @@
     }
 }
 
+milliseconds worker::calls_end_at() const
+{
+    return milliseconds(core_.calls_end_at_ms_.load(relaxed));
+}
+
+// Makes the calls that run end with an answer before this VM does.
+void worker::limit_deadlines()
+{
+    for (auto* connection : connections_)
+    {
+        connection->limit_deadlines(calls_end_at());
+    }
+}
+
 void worker::close_idle_caller_connections()
 {
     std::vector<std::shared_ptr<caller_connection>> idle;
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -100,6 +100,10 @@
     // May be called from any thread.
     void stop_accepting();
     void begin_finish();
+
+    // Returns when calls that still run are ended, because this VM stops; a
+    // point that no call reaches unless it does.
+    milliseconds calls_end_at() const;
     void stop_now();
     void post_dispatch_waiting(const std::shared_ptr<service_state>& service);
 
@@ -215,6 +219,7 @@
     void drop_removed_target_pools();
     void drop_removed_rules();
     void refuse_waiting();
+    void limit_deadlines();
     void close_idle_caller_connections();
     void close_all_connections();
     std::shared_ptr<target_pool> pool_of(const target_entry& target);
