Limit the response bytes that a VM holds for all calls together

What callers saw: on other systems a faulty target sent bytes without end, the VM that had called it kept them all, and the calls of other callers ended with its process. Here what one call holds was limited, but not the sum.

Cause: each call may hold back 64 KB, read 64 KB at once and leave 64 KB unsent to a caller that reads slowly, and the connection limit allows 2,000 calls and more on a VM of 112 MB.

Change: relay_allowance is the buffer of each call: 64 KB, or less if the calls that run would exceed 8 MB together. It limits what is held back, read at once and left unsent. A call whose response was too long to be held back frees that buffer.

Up to 128 calls nothing changes.

--- a/modules/av_proxy/proxied_call_response.cpp
+++ b/modules/av_proxy/proxied_call_response.cpp
@@ -7,6 +7,7 @@
 #include <av_model/call_outcome.hpp>
 #include <av_proxy/worker.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace anvilturn
@@ -47,10 +48,14 @@
     {
         response_output().append(bytes);
     }
-    if (buffered_response_.size() >
-        worker_.core().settings_.buffered_response_bytes_)
+    const auto limit =
+        std::min(worker_.core().settings_.buffered_response_bytes_,
+                 worker_.relay_allowance());
+    if (buffered_response_.size() > limit)
     {
         flush_buffered_response();
+        // Not needed again by this call, which may last.
+        std::string().swap(buffered_response_);
     }
 }
 
@@ -61,8 +66,7 @@
         return;
     }
     link_.flush();
-    const bool slow =
-        link_.unsent_bytes() > worker_.core().settings_.relay_buffer_bytes_;
+    const bool slow = link_.unsent_bytes() > worker_.relay_allowance();
     if (connection_ != nullptr && slow)
     {
         connection_->pause();
--- a/modules/av_proxy/target_connection.cpp
+++ b/modules/av_proxy/target_connection.cpp
@@ -268,7 +268,8 @@
     }
     auto& scratch = worker_.scratch();
     error_code error;
-    const auto count = socket_.read_some(asio::buffer(scratch), error);
+    const auto count = socket_.read_some(
+        asio::buffer(scratch, worker_.relay_allowance()), error);
     if (error == asio::error::would_block)
     {
         wait_readable();
