Test endless answers to load queries

Each of the endless heads, framings and bodies that a target may send in answer to a load query ends with the query or before, and none is kept; the code is unchanged.

--- a/modules/av_proxy/tests/endless_bytes_test.cpp
+++ b/modules/av_proxy/tests/endless_bytes_test.cpp
@@ -3,6 +3,7 @@
 
 #include "relay_fixture.hpp"
 
+#include <limits>
 #include <vector>
 
 namespace anvilturn::test
@@ -174,6 +175,38 @@
     }
 }
 
+// Whatever the answer to a load query is, it ends with the query.
+BOOST_AUTO_TEST_CASE(an_endless_answer_to_a_load_query_ends)
+{
+    auto answers = endless_headers();
+    for (const auto& more : {endless_framing(), endless_bodies()})
+    {
+        answers.insert(answers.end(), more.begin(), more.end());
+    }
+    for (const auto& endless : answers)
+    {
+        BOOST_TEST_CONTEXT(endless.name_)
+        {
+            scripted_target target;
+            auto value = make_release({target.address()}, "ask_first");
+            value.services_["kits"].health_path_ = "/healthz";
+            relay vm(with_timeout(value, call_timeout_ms),
+                     custom_dialect_settings());
+            auto caller = vm.call();
+            caller.send(request);
+            auto connection = target.accept();
+            BOOST_TEST(contains(connection.read_header(), "GET /healthz "));
+            // The VM drops what it reads, so only the query's own time limit
+            // ends the valid ones.
+            send_without_end(connection,
+                             endless.beginning_,
+                             endless.repeated_,
+                             std::numeric_limits<std::size_t>::max());
+            BOOST_TEST(vm.path().statistics().answered_ == 0U);
+        }
+    }
+}
+
 // The response is complete and is delivered; what follows is not the beginning
 // of another one.
 BOOST_AUTO_TEST_CASE(endless_bytes_after_a_response_end_the_connection)
