--- a/modules/av_feed/listing_progress.hpp
+++ b/modules/av_feed/listing_progress.hpp
@@ -32,14 +32,9 @@
     {
         const bool has_more = page.has_more_;
         choose_next_name(page.objects_);
-        if (add_objects(std::move(page.objects_)))
-        {
-            pages_without_new_objects_ = 0;
-        }
-        else
-        {
-            ++pages_without_new_objects_;
-        }
+        const bool any_new = add_objects(std::move(page.objects_));
+        pages_without_new_objects_ =
+            any_new ? 0 : pages_without_new_objects_ + 1;
         if (!has_more)
         {
             return listing_step::complete;
@@ -67,24 +62,27 @@
 private:
     static constexpr int max_pages_without_new_objects = 3;
 
-    // Chooses the last name of the page that was not asked for yet. The name of
-    // an object that can be decoded is read alike by the store and here, so it
-    // is preferred.
+    // Chooses the last name of the page that was not asked for yet; that of an
+    // object that could be decoded if there is one, since the store certainly
+    // reads such a name as it was meant.
     void choose_next_name(const std::vector<listed_object<Value>>& objects)
     {
         next_name_.clear();
         for (auto object = objects.rbegin(); object != objects.rend(); ++object)
         {
-            const bool is_usable = !object->name_.empty() &&
-                                   asked_names_.count(object->name_) == 0;
-            if (is_usable && (object->value_ || next_name_.empty()))
+            if (object->name_.empty() || asked_names_.count(object->name_) != 0)
             {
-                next_name_ = object->name_;
+                continue;
             }
-            if (is_usable && object->value_)
+            if (object->value_)
             {
+                next_name_ = object->name_;
                 break;
             }
+            if (next_name_.empty())
+            {
+                next_name_ = object->name_;
+            }
         }
         asked_names_.insert(next_name_);
     }
