--- a/modules/av_proxy/proxied_call_response.cpp
+++ b/modules/av_proxy/proxied_call_response.cpp
@@ -50,7 +50,7 @@
     }
     const auto limit =
         std::min(worker_.core().settings_.buffered_response_bytes_,
-                 worker_.relay_allowance());
+                 worker_.response_buffer_limit());
     if (buffered_response_.size() > limit)
     {
         flush_buffered_response();
@@ -66,7 +66,7 @@
         return;
     }
     link_.flush();
-    const bool slow = link_.unsent_bytes() > worker_.relay_allowance();
+    const bool slow = link_.unsent_bytes() > worker_.response_buffer_limit();
     if (connection_ != nullptr && slow)
     {
         connection_->pause();
--- a/modules/av_proxy/request_path_settings.hpp
+++ b/modules/av_proxy/request_path_settings.hpp
@@ -40,8 +40,8 @@
     std::size_t buffered_response_bytes_ = 0;
     // Unsent bytes for a slow receiver above which the sender is paused.
     std::size_t relay_buffer_bytes_ = 64 * 1024;
-    // Limit for the response bytes of all calls together; with many calls each
-    // has a smaller buffer. See relay_allowance.
+    // Size that the response buffers of all calls have together before each
+    // gets a smaller one. See response_buffer_limit.
     std::size_t relay_memory_bytes_ = std::size_t{8} * 1024 * 1024;
     // Time limit for a request's header, and for each further part of its body,
     // to arrive.
--- a/modules/av_proxy/relay_allowance.hpp
+++ b/modules/av_proxy/response_buffer_limit.hpp
@@ -1,7 +1,7 @@
 // Private to av_proxy.
 
-#ifndef AV_PROXY_RELAY_ALLOWANCE_HPP
-#define AV_PROXY_RELAY_ALLOWANCE_HPP
+#ifndef AV_PROXY_RESPONSE_BUFFER_LIMIT_HPP
+#define AV_PROXY_RESPONSE_BUFFER_LIMIT_HPP
 
 #include <av_proxy/request_path_settings.hpp>
 
@@ -14,8 +14,8 @@
 // read at once for one call: relay_buffer_bytes_, or less if so many calls run
 // on the thread that they would exceed relay_memory_bytes_ together. A target
 // may send without end, and its callers may not read.
-std::size_t relay_allowance(const request_path_settings& settings,
-                            int calls_on_thread) noexcept;
+std::size_t response_buffer_limit(const request_path_settings& settings,
+                                  int calls_on_thread) noexcept;
 
 } // namespace anvilturn
 
--- a/modules/av_proxy/target_connection.cpp
+++ b/modules/av_proxy/target_connection.cpp
@@ -269,7 +269,7 @@
     auto& scratch = worker_.scratch();
     error_code error;
     const auto count = socket_.read_some(
-        asio::buffer(scratch, worker_.relay_allowance()), error);
+        asio::buffer(scratch, worker_.response_buffer_limit()), error);
     if (error == asio::error::would_block)
     {
         wait_readable();
--- a/modules/av_proxy/worker.cpp
+++ b/modules/av_proxy/worker.cpp
@@ -8,7 +8,7 @@
 #include <av_proxy/caller_connection.hpp>
 #include <av_proxy/outlier_check.hpp>
 #include <av_proxy/proxied_call.hpp>
-#include <av_proxy/relay_allowance.hpp>
+#include <av_proxy/response_buffer_limit.hpp>
 #include <av_routing/random_bits.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -249,10 +249,10 @@
     return scratch_;
 }
 
-std::size_t worker::relay_allowance() const
+std::size_t worker::response_buffer_limit() const
 {
-    return anvilturn::relay_allowance(core_.settings_,
-                                      counters_.calls_.load(relaxed));
+    return anvilturn::response_buffer_limit(core_.settings_,
+                                            counters_.calls_.load(relaxed));
 }
 
 std::string& worker::body_buffer()
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -122,8 +122,8 @@
 
     // Buffer for a single read; its contents are overwritten by the next one.
     std::array<char, scratch_bytes>& scratch();
-    // Returns the allowance of each call on this thread; see relay_allowance.
-    std::size_t relay_allowance() const;
+    // See anvilturn::response_buffer_limit.
+    std::size_t response_buffer_limit() const;
     std::string& body_buffer();
 
     void add(caller_connection& connection);
