Don't link debug builds on arm64 with mold

mold 1.10 aborts on them as it does on the sanitizers' builds: an assertion in its range extension thunks. scripts/test.sh without a preset did not link on arm64.

--- a/cmake/toolchain_defaults.cmake
+++ b/cmake/toolchain_defaults.cmake
@@ -29,14 +29,18 @@
 
 set(ANVILTURN_SANITIZE "" CACHE STRING "Sanitizers: address,undefined or thread")
 
-# mold 1.10 aborts on arm64 when it links the large library of a sanitizer's
-# build (an assertion in its range extension thunks).
+# mold 1.10 aborts on arm64 when it links the large library of a build without
+# optimization (an assertion in its range extension thunks).
 set(ANVILTURN_IS_ARM64 FALSE)
 if(CMAKE_SYSTEM_PROCESSOR MATCHES "^(aarch64|arm64)$")
   set(ANVILTURN_IS_ARM64 TRUE)
 endif()
+set(ANVILTURN_IS_UNOPTIMIZED FALSE)
+if(ANVILTURN_SANITIZE OR CMAKE_BUILD_TYPE STREQUAL "Debug")
+  set(ANVILTURN_IS_UNOPTIMIZED TRUE)
+endif()
 find_program(MOLD_PROGRAM mold)
-if(MOLD_PROGRAM AND NOT (ANVILTURN_IS_ARM64 AND ANVILTURN_SANITIZE))
+if(MOLD_PROGRAM AND NOT (ANVILTURN_IS_ARM64 AND ANVILTURN_IS_UNOPTIMIZED))
   message(STATUS "Linker: mold")
   add_link_options(-fuse-ld=mold)
 else()
