Replicate accounts, allowed regions, evacuations and cold rates to subscribers

The release has client accounts with keys, class, quota and regions; rules may be public or restricted to regions; services have a rate for cold targets, and targets say how long they are cold. Watchers send all of it as new fields, which older VMs ignore.

--- a/modules/av_model/av_model.hpp
+++ b/modules/av_model/av_model.hpp
@@ -5,6 +5,7 @@
 #ifndef AV_MODEL_AV_MODEL_HPP
 #define AV_MODEL_AV_MODEL_HPP
 
+#include <av_model/account_spec.hpp>
 #include <av_model/call_outcome.hpp>
 #include <av_model/fleet_view.hpp>
 #include <av_model/load_report.hpp>
--- a/modules/av_model/release.hpp
+++ b/modules/av_model/release.hpp
@@ -3,6 +3,7 @@
 
 #include <av_core/comparison.hpp>
 
+#include <av_model/account_spec.hpp>
 #include <av_model/rule_spec.hpp>
 #include <av_model/service_spec.hpp>
 #include <av_model/target_spec.hpp>
@@ -29,6 +30,8 @@
     std::map<std::string, service_spec> services_;
     std::map<std::string, target_spec> targets_;
     std::map<std::string, rule_spec> rules_;
+    // By name. If there are any, callers need a key; see rule_spec::public_.
+    std::map<std::string, account_spec> accounts_;
     // The version that last changed or removed each object, by "service/NAME",
     // "target/NAME" or "rule/NAME". Used to detect conflicting notes.
     std::map<std::string, release_version> changed_in_;
@@ -44,6 +47,7 @@
                         services_,
                         targets_,
                         rules_,
+                        accounts_,
                         changed_in_,
                         recent_notes_);
     }
--- a/modules/av_model/rule_spec.hpp
+++ b/modules/av_model/rule_spec.hpp
@@ -49,6 +49,10 @@
     milliseconds latency_objective_{0.0};
     // Maximum number of targets to which one call may be sent.
     int max_attempts_ = 3;
+    // Whether callers need no key though the release has accounts.
+    bool public_ = false;
+    // The regions whose targets may get the calls; empty allows all.
+    std::vector<std::string> allowed_regions_;
 
     // Returns all members, for comparison.
     auto tie() const
@@ -66,7 +70,9 @@
                         split_,
                         timeout_,
                         latency_objective_,
-                        max_attempts_);
+                        max_attempts_,
+                        public_,
+                        allowed_regions_);
     }
 
     friend bool operator==(const rule_spec& a, const rule_spec& b)
--- a/modules/av_model/service_spec.hpp
+++ b/modules/av_model/service_spec.hpp
@@ -41,6 +41,9 @@
     int ejecting_failures_ = 3;
     // Path of the targets' health checks; empty if they have none.
     std::string health_path_;
+    // Calls per second that a target may get from all VMs together while it is
+    // cold; zero if cold targets are treated as others.
+    double cold_rate_per_second_ = 0.0;
 
     // Returns all members, for comparison.
     auto tie() const
@@ -55,7 +58,8 @@
                         probe_cost_,
                         target_concurrency_,
                         ejecting_failures_,
-                        health_path_);
+                        health_path_,
+                        cold_rate_per_second_);
     }
 
     friend bool operator==(const service_spec& a, const service_spec& b)
--- a/modules/av_model/target_spec.hpp
+++ b/modules/av_model/target_spec.hpp
@@ -3,6 +3,8 @@
 
 #include <av_core/comparison.hpp>
 
+#include <av_core/milliseconds.hpp>
+
 #include <cstdint>
 #include <string>
 #include <tuple>
@@ -29,6 +31,9 @@
     // Distinguishes successive starts of a target under the same name; a later
     // start has a higher number. Zero if unknown.
     std::int64_t incarnation_ = 0;
+    // How much longer the target is cold, as of when it last registered; zero
+    // if it is warm.
+    milliseconds cold_for_{0.0};
 
     // Returns all members, for comparison.
     auto tie() const
@@ -40,7 +45,8 @@
                         slots_,
                         connection_limit_,
                         draining_,
-                        incarnation_);
+                        incarnation_,
+                        cold_for_);
     }
 
     friend bool operator==(const target_spec& a, const target_spec& b)
--- a/modules/av_replication/mirror.capnp
+++ b/modules/av_replication/mirror.capnp
@@ -34,6 +34,8 @@
   incarnation @8 :Int64;
   # Removed from the store, but retained until it expires, since it may return.
   lapsing @9 :Bool;
+  # How much longer the target is cold, as of when it last registered.
+  coldForMs @10 :Float64;
 }
 
 struct ServicePart {
@@ -53,17 +55,32 @@
   objectiveMs @8 :Float64;
   mostAttempts @9 :Int32;
   plainPrefix @10 :Bool;
+  public @11 :Bool;
+  allowedRegions @12 :List(Text);
 }
 
 struct Service {
   name @0 :Text;
   healthPath @1 :Text;
+  coldRatePerSecond @2 :Float64;
+}
+
+struct Account {
+  name @0 :Text;
+  keys @1 :List(Text);
+  # Whether trafficClass is set.
+  hasClass @2 :Bool;
+  trafficClass @3 :UInt8;
+  ratePerSecond @4 :Float64;
+  burst @5 :Float64;
+  allowedRegions @6 :List(Text);
 }
 
 struct StoreRelease {
   version @0 :UInt64;
   rules @1 :List(Rule);
   services @2 :List(Service);
+  accounts @3 :List(Account);
 }
 
 # The changes since the previous message, from the watcher. Also sent without
@@ -88,4 +105,8 @@
   # subscriber that watches the store itself if the watchers can't.
   namesStandbys @8 :Bool;
   standbys @9 :List(Text);
+  # Whether the message names the evacuated failure domains. A watcher names
+  # them in its first message to a subscriber and when they change.
+  namesEvacuations @10 :Bool;
+  evacuatedDomains @11 :List(Text);
 }
--- a/modules/av_replication/mirror.capnp.h
+++ b/modules/av_replication/mirror.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(968be66e8c4f5e89);
 CAPNP_DECLARE_SCHEMA(986ec793ca1378e9);
 CAPNP_DECLARE_SCHEMA(e4d42abd332cb50e);
+CAPNP_DECLARE_SCHEMA(dc03985f19e35d34);
 CAPNP_DECLARE_SCHEMA(8ee29f12a631597d);
 CAPNP_DECLARE_SCHEMA(971515f098bbaeb6);
 
@@ -53,7 +54,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b5c362ccb3e841a3, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b5c362ccb3e841a3, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -83,7 +84,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(986ec793ca1378e9, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(986ec793ca1378e9, 3, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -98,7 +99,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e4d42abd332cb50e, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e4d42abd332cb50e, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Account {
+  Account() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dc03985f19e35d34, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -113,7 +129,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8ee29f12a631597d, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(8ee29f12a631597d, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -128,7 +144,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(971515f098bbaeb6, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(971515f098bbaeb6, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -279,6 +295,8 @@
 
   inline bool getLapsing() const;
 
+  inline double getColdForMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -353,6 +371,9 @@
   inline bool getLapsing();
   inline void setLapsing(bool value);
 
+  inline double getColdForMs();
+  inline void setColdForMs(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -509,6 +530,11 @@
 
   inline bool getPlainPrefix() const;
 
+  inline bool getPublic() const;
+
+  inline bool hasAllowedRegions() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getAllowedRegions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -590,6 +616,17 @@
   inline bool getPlainPrefix();
   inline void setPlainPrefix(bool value);
 
+  inline bool getPublic();
+  inline void setPublic(bool value);
+
+  inline bool hasAllowedRegions();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getAllowedRegions();
+  inline void setAllowedRegions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setAllowedRegions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initAllowedRegions(unsigned int size);
+  inline void adoptAllowedRegions(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownAllowedRegions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -639,6 +676,8 @@
   inline bool hasHealthPath() const;
   inline  ::capnp::Text::Reader getHealthPath() const;
 
+  inline double getColdRatePerSecond() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -681,6 +720,9 @@
   inline void adoptHealthPath(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownHealthPath();
 
+  inline double getColdRatePerSecond();
+  inline void setColdRatePerSecond(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -707,6 +749,129 @@
 };
 #endif  // !CAPNP_LITE
 
+class Account::Reader {
+public:
+  typedef Account Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasKeys() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getKeys() const;
+
+  inline bool getHasClass() const;
+
+  inline  ::uint8_t getTrafficClass() const;
+
+  inline double getRatePerSecond() const;
+
+  inline double getBurst() const;
+
+  inline bool hasAllowedRegions() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getAllowedRegions() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Account::Builder {
+public:
+  typedef Account Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasKeys();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getKeys();
+  inline void setKeys( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setKeys(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initKeys(unsigned int size);
+  inline void adoptKeys(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownKeys();
+
+  inline bool getHasClass();
+  inline void setHasClass(bool value);
+
+  inline  ::uint8_t getTrafficClass();
+  inline void setTrafficClass( ::uint8_t value);
+
+  inline double getRatePerSecond();
+  inline void setRatePerSecond(double value);
+
+  inline double getBurst();
+  inline void setBurst(double value);
+
+  inline bool hasAllowedRegions();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getAllowedRegions();
+  inline void setAllowedRegions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setAllowedRegions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initAllowedRegions(unsigned int size);
+  inline void adoptAllowedRegions(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownAllowedRegions();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Account::Pipeline {
+public:
+  typedef Account Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class StoreRelease::Reader {
 public:
   typedef StoreRelease Reads;
@@ -732,6 +897,9 @@
   inline bool hasServices() const;
   inline  ::capnp::List< ::anvilturn::wire::Service,  ::capnp::Kind::STRUCT>::Reader getServices() const;
 
+  inline bool hasAccounts() const;
+  inline  ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>::Reader getAccounts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -777,6 +945,13 @@
   inline void adoptServices(::capnp::Orphan< ::capnp::List< ::anvilturn::wire::Service,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::anvilturn::wire::Service,  ::capnp::Kind::STRUCT>> disownServices();
 
+  inline bool hasAccounts();
+  inline  ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>::Builder getAccounts();
+  inline void setAccounts( ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>::Builder initAccounts(unsigned int size);
+  inline void adoptAccounts(::capnp::Orphan< ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>> disownAccounts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -844,6 +1019,11 @@
   inline bool hasStandbys() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getStandbys() const;
 
+  inline bool getNamesEvacuations() const;
+
+  inline bool hasEvacuatedDomains() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEvacuatedDomains() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -919,6 +1099,17 @@
   inline void adoptStandbys(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownStandbys();
 
+  inline bool getNamesEvacuations();
+  inline void setNamesEvacuations(bool value);
+
+  inline bool hasEvacuatedDomains();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEvacuatedDomains();
+  inline void setEvacuatedDomains( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEvacuatedDomains(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEvacuatedDomains(unsigned int size);
+  inline void adoptEvacuatedDomains(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEvacuatedDomains();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1258,6 +1449,20 @@
       ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
 }
 
+inline double RegisteredTarget::Reader::getColdForMs() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double RegisteredTarget::Builder::getColdForMs() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RegisteredTarget::Builder::setColdForMs(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ServicePart::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1560,6 +1765,58 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Rule::Reader::getPublic() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline bool Rule::Builder::getPublic() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Rule::Builder::setPublic(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Rule::Reader::hasAllowedRegions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Rule::Builder::hasAllowedRegions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Rule::Reader::getAllowedRegions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Rule::Builder::getAllowedRegions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Rule::Builder::setAllowedRegions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void Rule::Builder::setAllowedRegions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Rule::Builder::initAllowedRegions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Rule::Builder::adoptAllowedRegions(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Rule::Builder::disownAllowedRegions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool Service::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1628,6 +1885,186 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline double Service::Reader::getColdRatePerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double Service::Builder::getColdRatePerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Service::Builder::setColdRatePerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Account::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Account::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Account::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Account::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Account::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Account::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Account::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Account::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Account::Reader::hasKeys() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Account::Builder::hasKeys() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Account::Reader::getKeys() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Account::Builder::getKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Account::Builder::setKeys( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Account::Builder::setKeys(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Account::Builder::initKeys(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Account::Builder::adoptKeys(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Account::Builder::disownKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Account::Reader::getHasClass() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Account::Builder::getHasClass() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Account::Builder::setHasClass(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Account::Reader::getTrafficClass() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Account::Builder::getTrafficClass() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Account::Builder::setTrafficClass( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Account::Reader::getRatePerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double Account::Builder::getRatePerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Account::Builder::setRatePerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Account::Reader::getBurst() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double Account::Builder::getBurst() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Account::Builder::setBurst(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Account::Reader::hasAllowedRegions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Account::Builder::hasAllowedRegions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Account::Reader::getAllowedRegions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Account::Builder::getAllowedRegions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Account::Builder::setAllowedRegions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Account::Builder::setAllowedRegions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Account::Builder::initAllowedRegions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Account::Builder::adoptAllowedRegions(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Account::Builder::disownAllowedRegions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t StoreRelease::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1710,6 +2147,40 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool StoreRelease::Reader::hasAccounts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoreRelease::Builder::hasAccounts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>::Reader StoreRelease::Reader::getAccounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>::Builder StoreRelease::Builder::getAccounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StoreRelease::Builder::setAccounts( ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>::Builder StoreRelease::Builder::initAccounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void StoreRelease::Builder::adoptAccounts(
+    ::capnp::Orphan< ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>> StoreRelease::Builder::disownAccounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Update::Reader::getEpoch() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1939,6 +2410,58 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Update::Reader::getNamesEvacuations() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+
+inline bool Update::Builder::getNamesEvacuations() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+inline void Update::Builder::setNamesEvacuations(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Update::Reader::hasEvacuatedDomains() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Update::Builder::hasEvacuatedDomains() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Update::Reader::getEvacuatedDomains() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Update::Builder::getEvacuatedDomains() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Update::Builder::setEvacuatedDomains( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void Update::Builder::setEvacuatedDomains(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Update::Builder::initEvacuatedDomains(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Update::Builder::adoptEvacuatedDomains(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Update::Builder::disownEvacuatedDomains() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/modules/av_replication/registry_update.hpp
+++ b/modules/av_replication/registry_update.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,9 @@
     // Addresses of the standbys: subscribers that watch the store themselves
     // and serve others if the watchers can't. Nothing if they are as before.
     std::optional<std::vector<std::string>> standbys_;
+    // The evacuated failure domains. Nothing if they are as before, or if the
+    // watcher does not know them.
+    std::optional<std::set<std::string>> evacuated_domains_;
 };
 
 } // namespace anvilturn
--- a/modules/av_replication/update_codec.cpp
+++ b/modules/av_replication/update_codec.cpp
@@ -30,6 +30,34 @@
     return {text.begin(), text.size()};
 }
 
+template <typename Texts>
+void fill_texts(capnp::List<capnp::Text>::Builder builder, const Texts& values)
+{
+    unsigned index = 0;
+    for (const auto& value : values)
+    {
+        builder.set(index++, to_text(value));
+    }
+}
+
+template <typename Texts>
+Texts read_texts(capnp::List<capnp::Text>::Reader reader)
+{
+    Texts result;
+    for (const auto text : reader)
+    {
+        result.insert(result.end(), to_string(text));
+    }
+    return result;
+}
+
+traffic_class read_class(std::uint8_t value)
+{
+    constexpr auto lowest_class =
+        static_cast<std::uint8_t>(traffic_class_count - 1);
+    return static_cast<traffic_class>(std::min(value, lowest_class));
+}
+
 // Returns the compressed bytes; an empty string if there are few bytes or if
 // compression does not make them fewer.
 std::string compress_large(std::string_view bytes)
@@ -144,6 +172,7 @@
     builder.setSlots(spec.slots_);
     builder.setDraining(spec.draining_);
     builder.setIncarnation(spec.incarnation_);
+    builder.setColdForMs(spec.cold_for_.count());
 }
 
 target_change read_change(wire::RegisteredTarget::Reader reader)
@@ -161,6 +190,7 @@
     spec.slots_ = std::max(1, reader.getSlots());
     spec.draining_ = reader.getDraining();
     spec.incarnation_ = reader.getIncarnation();
+    spec.cold_for_ = milliseconds(reader.getColdForMs());
     change.object_.value_ = std::move(spec);
     return change;
 }
@@ -177,6 +207,10 @@
     builder.setTimeoutMs(rule.timeout_.count());
     builder.setObjectiveMs(rule.latency_objective_.count());
     builder.setMostAttempts(rule.max_attempts_);
+    builder.setPublic(rule.public_);
+    fill_texts(builder.initAllowedRegions(
+                   static_cast<unsigned>(rule.allowed_regions_.size())),
+               rule.allowed_regions_);
     auto parts = builder.initSplit(static_cast<unsigned>(rule.split_.size()));
     for (unsigned i = 0; i < parts.size(); ++i)
     {
@@ -187,20 +221,20 @@
 
 rule_spec read_rule(wire::Rule::Reader reader)
 {
-    constexpr auto lowest_class =
-        static_cast<std::uint8_t>(traffic_class_count - 1);
     rule_spec rule;
     rule.name_ = to_string(reader.getName());
     rule.host_ = to_string(reader.getHost());
     rule.path_prefix_ = to_string(reader.getPathPrefix());
     rule.plain_prefix_ = reader.getPlainPrefix();
     rule.service_ = to_string(reader.getService());
-    rule.class_ = static_cast<traffic_class>(
-        std::min(reader.getTrafficClass(), lowest_class));
+    rule.class_ = read_class(reader.getTrafficClass());
     rule.idempotent_ = reader.getIdempotent();
     rule.timeout_ = milliseconds(reader.getTimeoutMs());
     rule.latency_objective_ = milliseconds(reader.getObjectiveMs());
     rule.max_attempts_ = reader.getMostAttempts();
+    rule.public_ = reader.getPublic();
+    rule.allowed_regions_ =
+        read_texts<std::vector<std::string>>(reader.getAllowedRegions());
     for (const auto part : reader.getSplit())
     {
         rule.split_.push_back({to_string(part.getService()), part.getWeight()});
@@ -208,6 +242,37 @@
     return rule;
 }
 
+void fill(wire::Account::Builder builder, const account_spec& account)
+{
+    builder.setName(to_text(account.name_));
+    fill_texts(builder.initKeys(static_cast<unsigned>(account.keys_.size())),
+               account.keys_);
+    builder.setHasClass(account.class_.has_value());
+    builder.setTrafficClass(static_cast<std::uint8_t>(
+        account.class_.value_or(traffic_class::interactive)));
+    builder.setRatePerSecond(account.rate_per_second_);
+    builder.setBurst(account.burst_);
+    fill_texts(builder.initAllowedRegions(
+                   static_cast<unsigned>(account.allowed_regions_.size())),
+               account.allowed_regions_);
+}
+
+account_spec read_account(wire::Account::Reader reader)
+{
+    account_spec account;
+    account.name_ = to_string(reader.getName());
+    account.keys_ = read_texts<std::vector<std::string>>(reader.getKeys());
+    if (reader.getHasClass())
+    {
+        account.class_ = read_class(reader.getTrafficClass());
+    }
+    account.rate_per_second_ = reader.getRatePerSecond();
+    account.burst_ = reader.getBurst();
+    account.allowed_regions_ =
+        read_texts<std::vector<std::string>>(reader.getAllowedRegions());
+    return account;
+}
+
 void fill(wire::StoreRelease::Builder builder, const release& value)
 {
     builder.setVersion(value.version_);
@@ -223,7 +288,16 @@
     for (const auto& service : value.services_)
     {
         services[index].setName(to_text(service.first));
-        services[index++].setHealthPath(to_text(service.second.health_path_));
+        services[index].setHealthPath(to_text(service.second.health_path_));
+        services[index++].setColdRatePerSecond(
+            service.second.cold_rate_per_second_);
+    }
+    auto accounts =
+        builder.initAccounts(static_cast<unsigned>(value.accounts_.size()));
+    index = 0;
+    for (const auto& account : value.accounts_)
+    {
+        fill(accounts[index++], account.second);
     }
 }
 
@@ -243,8 +317,15 @@
         auto service = defaults;
         service.name_ = to_string(entry.getName());
         service.health_path_ = to_string(entry.getHealthPath());
+        service.cold_rate_per_second_ = entry.getColdRatePerSecond();
         value.services_[service.name_] = service;
     }
+    for (const auto entry : reader.getAccounts())
+    {
+        auto account = read_account(entry);
+        const auto name = account.name_;
+        value.accounts_[name] = std::move(account);
+    }
     return value;
 }
 
@@ -313,12 +394,16 @@
     {
         const auto& standbys = *update.standbys_;
         builder.setNamesStandbys(true);
-        auto list =
-            builder.initStandbys(static_cast<unsigned>(standbys.size()));
-        for (unsigned i = 0; i < list.size(); ++i)
-        {
-            list.set(i, to_text(standbys[i]));
-        }
+        fill_texts(builder.initStandbys(static_cast<unsigned>(standbys.size())),
+                   standbys);
+    }
+    if (update.evacuated_domains_)
+    {
+        const auto& domains = *update.evacuated_domains_;
+        builder.setNamesEvacuations(true);
+        fill_texts(
+            builder.initEvacuatedDomains(static_cast<unsigned>(domains.size())),
+            domains);
     }
     return to_frame(message);
 }
@@ -379,11 +464,13 @@
             }
             if (reader.getNamesStandbys())
             {
-                auto& standbys = update.standbys_.emplace();
-                for (const auto address : reader.getStandbys())
-                {
-                    standbys.push_back(to_string(address));
-                }
+                update.standbys_ =
+                    read_texts<std::vector<std::string>>(reader.getStandbys());
+            }
+            if (reader.getNamesEvacuations())
+            {
+                update.evacuated_domains_ = read_texts<std::set<std::string>>(
+                    reader.getEvacuatedDomains());
             }
             return update;
         });
