--- a/modules/av_replication/tests/update_codec_test.cpp
+++ b/modules/av_replication/tests/update_codec_test.cpp
@@ -26,7 +26,7 @@
     account_spec limited;
     limited.name_ = "school";
     limited.keys_ = {"first", "second"};
-    limited.class_ = traffic_class::batch;
+    limited.class_ = traffic_class::bulk;
     limited.rate_per_second_ = 12.5;
     limited.burst_ = 20.0;
     limited.allowed_regions_ = {"north"};
