--- a/modules/av_quota/permit_ledger.hpp
+++ b/modules/av_quota/permit_ledger.hpp
@@ -43,6 +43,8 @@
     milliseconds counted_at_{0.0};
     // Calls that were refused and are expected to return, see retry_after_.
     double refused_ = 0.0;
+    // When both buckets are full if nothing more is taken.
+    milliseconds full_at_{0.0};
 };
 
 // Takes permits from the bucket.
--- a/modules/av_quota/permit_stock.hpp
+++ b/modules/av_quota/permit_stock.hpp
@@ -46,6 +46,13 @@
                  milliseconds asked_at,
                  milliseconds now);
 
+// Records that no grantor that can be reached has permits. The VM asks again
+// after the given time, or sooner if it is long, since a Retry-After of callers
+// also takes those into account that were refused before.
+void record_refusal(permit_stock& stock,
+                    milliseconds retry_after,
+                    milliseconds now);
+
 // Returns how many permits to ask for now: those that the VM expects to use
 // within a lease less those that it holds, and at least one for each call that
 // waits for one. Zero if there are enough.
