Track which targets are cold, and use cold targets only with a permit

Each target's state has the time until which it is cold, by the information that arrived last, and one log line for each change says where it comes from. ask_first uses cold targets of services with a cold rate only with a permit, after warm ones of the same failure domain, and names the cold target to request a permit for.

--- a/modules/av_feed/target_log.cpp
+++ b/modules/av_feed/target_log.cpp
@@ -9,6 +9,14 @@
 namespace
 {
 
+// Returns whether the entries differ in more than the time for which the target
+// is cold, whose changes are logged where they are used.
+bool is_changed(const target_spec& before, target_spec after)
+{
+    after.cold_for_ = before.cold_for_;
+    return before != after;
+}
+
 void log_listing(const std::map<std::string, target_spec>& targets,
                  store_revision revision)
 {
@@ -58,7 +66,7 @@
         {
             log_target("target_registered", entry.second, revision);
         }
-        else if (known->second != entry.second)
+        else if (is_changed(known->second, entry.second))
         {
             log_target("target_changed", entry.second, revision);
         }
--- a/modules/av_http/header_dialect.hpp
+++ b/modules/av_http/header_dialect.hpp
@@ -27,6 +27,8 @@
     std::string draining_ = "Anvilturn-Draining";
     // Present in a response if the request was refused before it ran.
     std::string not_run_ = "Anvilturn-Not-Run";
+    // Holds how much longer the responding target is cold, in milliseconds.
+    std::string cold_for_;
     // Holds the id of the responding target.
     std::string target_id_;
     // A field that each successful response of a target has; a success without
--- a/modules/av_http/response_head.hpp
+++ b/modules/av_http/response_head.hpp
@@ -37,6 +37,9 @@
     // value is not verified. Always false if the dialect has none.
     bool has_signature_ = false;
     std::optional<load_report> load_;
+    // How much longer the target is cold; zero if it is warm, nothing if it
+    // does not say so.
+    std::optional<milliseconds> cold_for_;
     bool draining_ = false;
     bool not_run_ = false;
     // Outcome and reason as sent by another VM; empty in a target's response.
--- a/modules/av_http/response_reader.cpp
+++ b/modules/av_http/response_reader.cpp
@@ -11,6 +11,21 @@
 namespace
 {
 
+// Returns the number of milliseconds; nothing if the value is malformed.
+std::optional<milliseconds> parse_cold_time(std::string_view value)
+{
+    // A target with a longer warm-up time would practically never be used.
+    constexpr int max_cold_ms = 600'000;
+    int count = 0;
+    const auto* const end = value.data() + value.size();
+    const auto parsed = std::from_chars(value.data(), end, count);
+    if (parsed.ec != std::errc() || parsed.ptr != end || count < 0)
+    {
+        return std::nullopt;
+    }
+    return milliseconds(std::min(count, max_cold_ms));
+}
+
 using detail::equals_ignoring_case;
 using detail::http_field;
 
@@ -108,6 +123,11 @@
             head_.load_ = dialect_.parse_load_(value);
             return true;
         }
+        if (is(dialect_.cold_for_))
+        {
+            head_.cold_for_ = parse_cold_time(value);
+            return true;
+        }
         if (is(dialect_.draining_))
         {
             head_.draining_ = value == "1";
@@ -241,6 +261,7 @@
     target_id_.clear();
     has_signature_ = false;
     load_.reset();
+    cold_for_.reset();
     draining_ = false;
     not_run_ = false;
     outcome_.clear();
--- a/modules/av_proxy/load_query_sender.cpp
+++ b/modules/av_proxy/load_query_sender.cpp
@@ -32,6 +32,7 @@
         : owner_(owner)
         , service_(service.state_->name_)
         , path_(service.spec_.health_path_)
+        , limits_cold_targets_(service.spec_.cold_rate_per_second_ > 0.0)
         , target_(target.state_)
         , started_at_(owner.worker_.now())
     {
@@ -102,6 +103,13 @@
         {
             target_->idle_limit_ms_.store(head.idle_limit_->count(), relaxed);
         }
+        if (head.cold_for_ && limits_cold_targets_)
+        {
+            record_coldness(*target_,
+                            *head.cold_for_,
+                            coldness_source::health_response,
+                            now);
+        }
         if (head.load_)
         {
             record_load_response(*target_, *head.load_, now);
@@ -145,6 +153,7 @@
     load_query_sender& owner_;
     const std::string service_;
     const std::string path_;
+    const bool limits_cold_targets_;
     std::shared_ptr<target_state> target_;
     milliseconds started_at_;
     std::shared_ptr<target_connection> connection_;
--- a/modules/av_proxy/routing_table.cpp
+++ b/modules/av_proxy/routing_table.cpp
@@ -31,8 +31,11 @@
                : nullptr;
 }
 
-std::shared_ptr<target_state> reuse_or_create_target_state(
-    const target_spec& spec, const routing_table* previous, milliseconds now)
+std::shared_ptr<target_state>
+reuse_or_create_target_state(const target_spec& spec,
+                             const routing_table* previous,
+                             bool limits_cold_targets,
+                             milliseconds now)
 {
     const auto* service =
         previous == nullptr ? nullptr : previous->find_service(spec.service_);
@@ -41,10 +44,24 @@
     if (known != nullptr && known->spec_.address_ == spec.address_ &&
         known->spec_.incarnation_ == spec.incarnation_)
     {
+        // The time counts from when the entry arrived, so an entry that is the
+        // same in a new table says nothing new.
+        if (limits_cold_targets && known->spec_.cold_for_ != spec.cold_for_)
+        {
+            record_coldness(*known->state_,
+                            spec.cold_for_,
+                            coldness_source::store_entry,
+                            now);
+        }
         return known->state_;
     }
     auto state = std::make_shared<target_state>(
         spec.name_, spec.address_, spec.incarnation_);
+    if (limits_cold_targets)
+    {
+        record_coldness(
+            *state, spec.cold_for_, coldness_source::store_entry, now);
+    }
     if (service != nullptr)
     {
         state->slow_start_since_ms_.store(now.count());
@@ -156,8 +173,11 @@
         }
         target_entry target;
         target.spec_ = spec;
-        target.state_ =
-            reuse_or_create_target_state(spec, input.previous_, now);
+        target.state_ = reuse_or_create_target_state(
+            spec,
+            input.previous_,
+            service->second.spec_.cold_rate_per_second_ > 0.0,
+            now);
         target.state_->ejecting_streak_.store(
             service->second.spec_.ejecting_failures_);
         target.same_domain_ =
--- a/modules/av_proxy/target_state.cpp
+++ b/modules/av_proxy/target_state.cpp
@@ -1,5 +1,6 @@
 #include <av_proxy/target_state.hpp>
 
+#include <av_core/log_event.hpp>
 #include <av_limits/concurrency_limit.hpp>
 #include <av_routing/slow_start.hpp>
 
@@ -15,6 +16,8 @@
 constexpr milliseconds unreachable_backoff{500.0};
 constexpr int max_unreachable_factor = 10;
 constexpr milliseconds slow_start_duration{2000.0};
+// Longest time that an entry of the store takes to reach a connected VM.
+constexpr milliseconds max_entry_delay{2500.0};
 
 bool increment_below(std::atomic<int>& count, int limit) noexcept
 {
@@ -82,6 +85,30 @@
     state.reported_at_ms_.store(now.count(), relaxed);
 }
 
+std::string_view name_of(coldness_source source) noexcept
+{
+    return source == coldness_source::store_entry ? "store_entry"
+                                                  : "health_response";
+}
+
+// Logs a change between cold and warm, once for all threads.
+void log_coldness(target_state& state,
+                  bool cold,
+                  std::string_view source,
+                  milliseconds cold_for)
+{
+    if (state.logged_as_cold_.load(relaxed) == cold ||
+        state.logged_as_cold_.exchange(cold) == cold)
+    {
+        return;
+    }
+    log_event(log_level::info, cold ? "target_cold" : "target_warm")
+        .field("target", state.name_)
+        .field("source", source)
+        .field("cold_for_ms", cold_for.count())
+        .write();
+}
+
 } // namespace
 
 bool try_acquire_slot(target_state& state, int limit) noexcept
@@ -128,6 +155,42 @@
     state.answered_at_ms_.store(now.count(), relaxed);
 }
 
+void record_coldness(target_state& state,
+                     milliseconds cold_for,
+                     coldness_source source,
+                     milliseconds now)
+{
+    const auto until = now + cold_for;
+    if (source == coldness_source::health_response)
+    {
+        state.cold_reported_at_ms_.store(now.count(), relaxed);
+    }
+    else
+    {
+        const double reported_at = state.cold_reported_at_ms_.load(relaxed);
+        const bool reported_recently =
+            reported_at >= 0.0 &&
+            now - milliseconds(reported_at) <= max_entry_delay;
+        if (reported_recently &&
+            until.count() < state.cold_until_ms_.load(relaxed))
+        {
+            return;
+        }
+    }
+    state.cold_until_ms_.store(until.count(), relaxed);
+    log_coldness(state, until > now, name_of(source), cold_for);
+}
+
+bool is_cold(target_state& state, milliseconds now)
+{
+    const bool cold = state.cold_until_ms_.load(relaxed) > now.count();
+    if (!cold)
+    {
+        log_coldness(state, false, "time_elapsed", milliseconds(0.0));
+    }
+    return cold;
+}
+
 void record_latency(target_state& state,
                     milliseconds latency,
                     int slots) noexcept
--- a/modules/av_proxy/target_state.hpp
+++ b/modules/av_proxy/target_state.hpp
@@ -56,6 +56,12 @@
     // Time for which the target keeps an idle connection open; zero if it has
     // not reported one.
     std::atomic<double> idle_limit_ms_{0.0};
+    // The target is cold until this point in time.
+    std::atomic<double> cold_until_ms_{-1.0};
+    // When a health response last said how long the target is cold.
+    std::atomic<double> cold_reported_at_ms_{-1.0};
+    // Whether the last log line about it said that the target is cold.
+    std::atomic<bool> logged_as_cold_{false};
     // Whether another target responded at this address.
     std::atomic<bool> address_taken_over_{false};
 
@@ -119,6 +125,26 @@
                           const load_report& report,
                           milliseconds now) noexcept;
 
+// Where information comes from on how long a target is cold.
+enum class coldness_source
+{
+    store_entry,
+    health_response
+};
+
+// Records how much longer the target is cold. The information that arrives last
+// is used, except that a store entry, which may have been on its way for a
+// while, does not shorten the time by a recent health response. Logs when the
+// target becomes cold or warm.
+void record_coldness(target_state& state,
+                     milliseconds cold_for,
+                     coldness_source source,
+                     milliseconds now);
+
+// Returns whether the target is cold. Logs if it has become warm since the last
+// call.
+bool is_cold(target_state& state, milliseconds now);
+
 // Records the latency of a successful response and adapts the concurrency limit
 // of the target.
 void record_latency(target_state& state,
--- a/modules/av_routing/ask_first_policy.cpp
+++ b/modules/av_routing/ask_first_policy.cpp
@@ -33,6 +33,9 @@
 // it.
 constexpr double connection_cost = 0.45;
 constexpr std::uint64_t exploration_period = 16;
+// Added to the rank of cold targets for load queries, so that warm ones come
+// first.
+constexpr double cold_rank = 10.0;
 // Width of the random part of the ranking for load queries.
 constexpr double ranking_noise = 0.6;
 
@@ -72,6 +75,13 @@
     return load_of(target) + 1.0 <= target.best_concurrency_;
 }
 
+// Returns whether the call may be sent there as far as the limit of cold
+// targets is concerned.
+bool is_permitted(const target_view& target) noexcept
+{
+    return !target.cold_ || target.has_permit_;
+}
+
 // Returns whether the call should begin at this target rather than wait for one
 // that is not slowed. A slowed target is used if the call can end there before
 // its deadline, and either could not any more after one more round of load
@@ -113,8 +123,8 @@
     for (std::size_t index = 0; index < input.targets_.size(); ++index)
     {
         const auto& target = input.targets_[index];
-        if (!has_room(target) || !is_load_known(input, target) ||
-            !usable(target))
+        if (!has_room(target) || !is_permitted(target) ||
+            !is_load_known(input, target) || !usable(target))
         {
             continue;
         }
@@ -134,7 +144,8 @@
                        input.targets_.end(),
                        [](const target_view& target)
                        {
-                           return target.same_domain_ && has_room(target);
+                           return target.same_domain_ && is_permitted(target) &&
+                                  has_room(target);
                        });
 }
 
@@ -149,36 +160,114 @@
            spare_time <= load_query_wait_limit || !has_local_target(input);
 }
 
+// Returns the best target that is warm or cold, of the local failure domain or
+// of any.
+std::optional<std::size_t>
+best_target(const choice_input& input, bool cold, bool only_local)
+{
+    return lowest_cost_target(input,
+                              [&](const target_view& target)
+                              {
+                                  return target.cold_ == cold &&
+                                         (target.same_domain_ || !only_local) &&
+                                         has_capacity(target) &&
+                                         is_better_than_waiting(input, target);
+                              });
+}
+
 // Chooses a target of the local failure domain, or of another one if they may
-// be used. While load reports are awaited, only a local target that is neither
-// slowed nor unhealthy.
+// be used; in each, a warm target before a cold one with a permit. While load
+// reports are awaited, only a warm local target that is neither slowed nor
+// unhealthy.
 std::optional<std::size_t> choose_by_recent_load(const choice_input& input)
 {
-    const bool awaits_reports = input.awaits_load_reports_;
-    auto chosen = lowest_cost_target(
-        input,
-        [&](const target_view& target)
+    if (input.awaits_load_reports_)
+    {
+        return lowest_cost_target(input,
+                                  [](const target_view& target)
+                                  {
+                                      return !target.cold_ &&
+                                             target.same_domain_ &&
+                                             has_capacity(target) &&
+                                             !is_slowed(target) &&
+                                             !target.reports_unhealthy_;
+                                  });
+    }
+    auto chosen = best_target(input, false, true);
+    if (!chosen)
+    {
+        chosen = best_target(input, true, true);
+    }
+    if (!chosen && may_use_other_domains(input))
+    {
+        chosen = best_target(input, false, false);
+        if (!chosen)
         {
-            const bool is_acceptable =
-                awaits_reports
-                    ? !is_slowed(target) && !target.reports_unhealthy_
-                    : is_better_than_waiting(input, target);
-            return target.same_domain_ && has_capacity(target) && is_acceptable;
-        });
-    if (chosen || awaits_reports)
+            chosen = best_target(input, true, false);
+        }
+    }
+    return chosen;
+}
+
+// Returns whether a warm target, or a cold one with a permit, of the local
+// failure domain or of any, can probably take the call, by whatever is known of
+// its load.
+bool has_target_for_now(const choice_input& input, bool only_local) noexcept
+{
+    return std::any_of(input.targets_.begin(),
+                       input.targets_.end(),
+                       [&](const target_view& target)
+                       {
+                           return (target.same_domain_ || !only_local) &&
+                                  is_permitted(target) && has_room(target) &&
+                                  has_capacity(target) &&
+                                  is_better_than_waiting(input, target);
+                       });
+}
+
+std::optional<std::size_t>
+best_cold_target_to_request(const choice_input& input, bool same_domain)
+{
+    std::optional<std::size_t> best;
+    double best_rank = std::numeric_limits<double>::infinity();
+    auto bits = input.random_;
+    for (std::size_t index = 0; index < input.targets_.size(); ++index)
     {
-        return chosen;
+        const auto& target = input.targets_[index];
+        bits = mix_bits(bits);
+        if (is_permitted(target) || target.same_domain_ != same_domain ||
+            !has_room(target) || !has_capacity(target) ||
+            !is_better_than_waiting(input, target))
+        {
+            continue;
+        }
+        // The random part spreads the requests of many VMs over the targets.
+        const double rank =
+            cost_of(target) + ranking_noise * unit_interval(bits);
+        if (rank < best_rank)
+        {
+            best = index;
+            best_rank = rank;
+        }
     }
-    if (!may_use_other_domains(input))
+    return best;
+}
+
+// Names a cold target of the local failure domain if no other target there can
+// take the call, and one elsewhere if no other target at all can.
+std::optional<std::size_t> choose_cold_target(const choice_input& input)
+{
+    if (has_target_for_now(input, true))
     {
         return std::nullopt;
     }
-    return lowest_cost_target(input,
-                              [&](const target_view& target)
-                              {
-                                  return has_capacity(target) &&
-                                         is_better_than_waiting(input, target);
-                              });
+    const auto local = best_cold_target_to_request(input, true);
+    if (local || has_target_for_now(input, false) ||
+        !may_use_other_domains(input))
+    {
+        return local;
+    }
+    return best_cold_target_to_request(input, false);
 }
 
 struct ranked_target
@@ -212,8 +301,10 @@
         const bool avoids_new_connection = !target.has_connection_ && !explores;
         const double connection_penalty =
             avoids_new_connection ? connection_cost : 0.0;
+        const double cold_penalty = is_permitted(target) ? 0.0 : cold_rank;
         result.push_back({index,
-                          busy + unhealthy_penalty + connection_penalty +
+                          cold_penalty + busy + unhealthy_penalty +
+                              connection_penalty +
                               ranking_noise * unit_interval(bits)});
     }
     std::sort(result.begin(),
@@ -226,13 +317,21 @@
 }
 
 // Selects targets of the local failure domain; those of others once all local
-// ones were queried and other domains may be used.
+// ones were queried and other domains may be used. If the local ones that were
+// not queried are all cold and without a permit, one of them is selected beside
+// those of others, so that calls don't wait until all cold ones were queried.
 std::vector<std::size_t> targets_to_query(const choice_input& input)
 {
     auto ranked = rank_query_candidates(input, true);
-    if (ranked.empty() && may_use_other_domains(input))
+    const bool has_permitted =
+        !ranked.empty() && is_permitted(input.targets_[ranked[0].index_]);
+    if (!has_permitted && may_use_other_domains(input))
     {
-        ranked = rank_query_candidates(input, false);
+        const auto others = rank_query_candidates(input, false);
+        const auto kept = std::min<std::size_t>(
+            ranked.size(), others.empty() ? max_load_queries : 1);
+        ranked.resize(kept);
+        ranked.insert(ranked.end(), others.begin(), others.end());
     }
     std::vector<std::size_t> result;
     for (const auto& target : ranked)
@@ -254,6 +353,7 @@
         "queries the load of a few targets at the moment of the choice";
     policy.choose_ = choose_by_recent_load;
     policy.select_load_queries_ = targets_to_query;
+    policy.choose_cold_target_ = choose_cold_target;
     return policy;
 }
 
--- a/modules/av_routing/choice_policy.hpp
+++ b/modules/av_routing/choice_policy.hpp
@@ -65,6 +65,11 @@
     // is already known.
     std::vector<std::size_t> (*select_load_queries_)(
         const choice_input& input) = nullptr;
+    // Returns the index of the cold target for which the call should request a
+    // permit; nothing if a warm target can take it, or if it has a permit for a
+    // target that can. Null for policies that treat cold targets as others.
+    std::optional<std::size_t> (*choose_cold_target_)(
+        const choice_input& input) = nullptr;
 };
 
 using choice_policy_registry = plugin_registry<choice_policy>;
--- a/modules/av_routing/target_view.hpp
+++ b/modules/av_routing/target_view.hpp
@@ -43,6 +43,11 @@
     // Load by the newest probe, from any VM; negative if none.
     int probed_load_ = -1;
     milliseconds probe_age_{0.0};
+    // Whether the target is cold, in a service that limits the calls to cold
+    // targets.
+    bool cold_ = false;
+    // Whether the call has a permit for this target; needed only if it is cold.
+    bool has_permit_ = false;
     // Weight in 0 to 1: below 1 while the target is in slow start.
     double slow_start_weight_ = 1.0;
 };
