--- a/modules/av_quota/fleet_limit.cpp
+++ b/modules/av_quota/fleet_limit.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds min_lease(50.0);
 // A bucket that can't hold one whole permit never grants any.
 constexpr double min_burst = 1.0;
+// Part of what the bound leaves that is added to the burst rather than to the
+// reserve.
+constexpr double extra_burst_fraction = 0.5;
 // Keeps the sums within the bound in spite of rounding.
 constexpr double rounding_margin = 1e-9;
 
@@ -73,7 +76,10 @@
         std::max(0.0, limit.max_per_window_ / count * (1.0 - rounding_margin));
     grantor_share share;
     share.rate_per_second_ = limit.rate_per_second_ / count;
-    share.burst_ = std::max(min_burst, limit.burst_ / count);
+    // The fractions of tokens that are left at each grantor add up to almost
+    // one permit for each, so a part of the burst would never be granted.
+    share.burst_ = limit.burst_ / count + min_burst;
+    share.full_after_ = limit.window_ + limit.max_lease_;
     const double spare =
         maximum - share.burst_ - share.rate_per_second_ * window_s;
     const double longest_s =
@@ -89,8 +95,14 @@
                               share.burst_);
     share.rate_per_second_ =
         std::min(share.rate_per_second_, (maximum - share.burst_) / covered_s);
-    const double reserve =
+    double reserve =
         maximum - share.burst_ - share.rate_per_second_ * covered_s;
+    if (limit.burst_ > 0.0 && reserve > 0.0)
+    {
+        // Makes up for permits that VMs prefetch and don't use.
+        share.burst_ += reserve * extra_burst_fraction;
+        reserve -= reserve * extra_burst_fraction;
+    }
     if (grantor_count > 1 && reserve >= min_burst)
     {
         // Replaces what one of the other grantors would have granted, as far
--- a/modules/av_quota/fleet_limit.hpp
+++ b/modules/av_quota/fleet_limit.hpp
@@ -99,6 +99,9 @@
     // A second token bucket for VMs that can't reach another grantor.
     double reserve_rate_per_second_ = 0.0;
     double reserve_burst_ = 0.0;
+    // Time after which permits of an earlier process of the grantor are used in
+    // no window together with permits that are granted now.
+    milliseconds full_after_{0.0};
 
     // Returns all members, for comparison.
     auto tie() const
@@ -107,7 +110,8 @@
                         burst_,
                         lease_,
                         reserve_rate_per_second_,
-                        reserve_burst_);
+                        reserve_burst_,
+                        full_after_);
     }
 
     friend bool operator==(const grantor_share& a, const grantor_share& b)
--- a/modules/av_quota/permit_ledger.cpp
+++ b/modules/av_quota/permit_ledger.cpp
@@ -81,6 +81,7 @@
         grant.permits_ +=
             take_tokens(bucket.reserve_tokens_, wanted - grant.permits_);
     }
+    bucket.granted_ = bucket.granted_ || grant.permits_ > 0;
     if (grant.permits_ == 0)
     {
         const double most_refused =
@@ -110,6 +111,12 @@
     {
         bucket.counted_at_ = ledger.started_at_;
     }
+    if (!bucket.granted_ && now - ledger.started_at_ >= share.full_after_)
+    {
+        bucket.tokens_ = share.burst_;
+        bucket.reserve_tokens_ = share.reserve_burst_;
+        bucket.counted_at_ = std::max(bucket.counted_at_, now);
+    }
     return take_permits(bucket, share, request, now);
 }
 
--- a/modules/av_quota/permit_ledger.hpp
+++ b/modules/av_quota/permit_ledger.hpp
@@ -45,6 +45,8 @@
     double refused_ = 0.0;
     // When both buckets are full if nothing more is taken.
     milliseconds full_at_{0.0};
+    // Whether permits were ever taken.
+    bool granted_ = false;
 };
 
 // Takes permits from the bucket.
@@ -53,9 +55,11 @@
                           const permit_request& request,
                           milliseconds now);
 
-// The buckets of one grantor. A bucket that the ledger does not have begins
-// with the tokens that have accumulated since the grantor started, because
-// permits of an earlier process may still be valid.
+// The buckets of one grantor. A bucket from which no permits were taken has the
+// tokens that have accumulated since the grantor started, because the calls of
+// permits of an earlier process may be in the same window; once that is past,
+// it is full. Otherwise small accounts would be refused for minutes after a
+// restart.
 struct permit_ledger
 {
     milliseconds started_at_{0.0};
--- a/modules/av_quota/permit_stock.cpp
+++ b/modules/av_quota/permit_stock.cpp
@@ -16,7 +16,7 @@
 constexpr double prefetch_fraction = 0.5;
 // A VM that was refused asks again after this time at the latest, because
 // permits may have been left by callers that did not return.
-constexpr milliseconds max_refused_time(50.0);
+constexpr milliseconds max_refused_time(100.0);
 
 double average_at(const permit_stock& stock, milliseconds now)
 {
