Check the keys of client accounts on the request path

A configuration may contain accounts with keys. A call on a rule that isn't public needs a known key, else it gets 401 at once; targets learn the account's name and never the key.

--- a/modules/av_core/error.cpp
+++ b/modules/av_core/error.cpp
@@ -186,6 +186,11 @@
          "object_unknown",
          code::kNotFound,
          "list what exists with anvilturnctl release show"},
+        {kind::api_key_unknown,
+         "api_key_unknown",
+         code::kUnauthenticated,
+         "send a key of an account, once; operators: check the accounts of the "
+         "configuration"},
         {kind::internal,
          "internal",
          code::kInternal,
--- a/modules/av_core/error.hpp
+++ b/modules/av_core/error.hpp
@@ -53,6 +53,7 @@
     usage_invalid,
     vm_unreachable,
     object_unknown,
+    api_key_unknown,
     internal
 };
 
--- a/modules/av_daemon/metrics_page.cpp
+++ b/modules/av_daemon/metrics_page.cpp
@@ -102,6 +102,26 @@
                requests.caller_connections_);
 }
 
+void collect_accounts(sample_list& list,
+                      const request_path_statistics& requests)
+{
+    for (const auto& account : requests.accounts_)
+    {
+        const auto add = [&](call_outcome outcome, std::uint64_t count)
+        {
+            list.counter("account_calls_total",
+                         "Calls by account and outcome; without a name, those "
+                         "of all other accounts.",
+                         {{"account", account.account_},
+                          {"outcome", std::string(name_of(outcome))}},
+                         count);
+        };
+        add(call_outcome::answered, account.answered_);
+        add(call_outcome::not_run, account.not_run_);
+        add(call_outcome::unknown, account.unknown_);
+    }
+}
+
 void collect_latency(sample_list& list, const latency_summary& latency)
 {
     constexpr auto name = "call_latency_milliseconds";
@@ -275,6 +295,7 @@
 {
     sample_list list;
     collect_calls(list, state);
+    collect_accounts(list, state.requests_);
     collect_latency(list, state.latency_);
     collect_durations(list, state);
     collect_targets(list, state.requests_);
--- a/modules/av_daemon/state_dump.cpp
+++ b/modules/av_daemon/state_dump.cpp
@@ -98,6 +98,7 @@
         put(out, "services", state.release_->services_.size());
         put(out, "targets", state.release_->targets_.size());
         put(out, "rules", state.release_->rules_.size());
+        put(out, "accounts", state.release_->accounts_.size());
     }
     out << YAML::EndMap;
 }
@@ -219,6 +220,26 @@
     out << YAML::EndSeq;
 }
 
+// Without their keys, which are secret.
+void emit_accounts(YAML::Emitter& out, const daemon_state& state)
+{
+    if (state.requests_.accounts_.empty())
+    {
+        return;
+    }
+    begin_list(out, "accounts");
+    for (const auto& account : state.requests_.accounts_)
+    {
+        out << YAML::BeginMap;
+        put(out, "name", account.account_);
+        put(out, "answered", account.answered_);
+        put(out, "not_run", account.not_run_);
+        put(out, "unknown", account.unknown_);
+        out << YAML::EndMap;
+    }
+    out << YAML::EndSeq;
+}
+
 void emit_targets(YAML::Emitter& out, const daemon_state& state)
 {
     begin_list(out, "targets");
@@ -286,6 +307,7 @@
             emit_release(out, state);
             emit_calls(out, state);
             emit_services(out, state);
+            emit_accounts(out, state);
             emit_targets(out, state);
             emit_members(out, state);
             emit_control(out, state.control_);
--- a/modules/av_daemon/tests/state_dump_test.cpp
+++ b/modules/av_daemon/tests/state_dump_test.cpp
@@ -101,4 +101,28 @@
     BOOST_TEST((std::adjacent_find(names.begin(), names.end()) == names.end()));
 }
 
+// Keys are secret, and the names of accounts bound the series of metrics.
+BOOST_AUTO_TEST_CASE(dump_and_metrics_name_accounts_without_their_keys)
+{
+    auto state = make_state();
+    auto value = std::make_shared<release>();
+    value->accounts_["lestari"].name_ = "lestari";
+    value->accounts_["lestari"].keys_ = {"ta828m82thhkmgjqnirt"};
+    state.release_ = value;
+    state.requests_.accounts_ = {{"lestari", 3, 1, 0}, {"", 9, 0, 0}};
+    const auto text = render_dump(state);
+    BOOST_TEST(contains(text, "name: lestari"));
+    BOOST_TEST(contains(text, "accounts: 1"));
+    BOOST_TEST(!contains(text, "ta828"));
+    const auto samples = collect_metrics(state);
+    const auto count = std::count_if(samples.begin(),
+                                     samples.end(),
+                                     [](const metric_sample& sample)
+                                     {
+                                         return sample.name_ ==
+                                                "anvilturn_account_calls_total";
+                                     });
+    BOOST_TEST(count == 6);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/av_http/header_dialect.hpp
+++ b/modules/av_http/header_dialect.hpp
@@ -34,6 +34,12 @@
     std::string signature_;
     // Holds the id of the target that the request is meant for.
     std::string expected_target_;
+    // Holds the key of the account on whose behalf a caller calls; never
+    // forwarded.
+    std::string api_key_ = "Anvilturn-Api-Key";
+    // Holds the name of the call's account, for targets and VMs. What callers
+    // send in it is dropped.
+    std::string account_ = "Anvilturn-Account";
     // Other fields with this prefix are not forwarded.
     std::string internal_field_prefix_ = "Anvilturn-";
     // Whether targets repeat the call's id, so that a response to another call
--- a/modules/av_http/message_writer.cpp
+++ b/modules/av_http/message_writer.cpp
@@ -109,6 +109,8 @@
         return "OK";
     case 400:
         return "Bad Request";
+    case 401:
+        return "Unauthorized";
     case 404:
         return "Not Found";
     case 408:
@@ -162,6 +164,10 @@
         append_field(
             output, dialect.expected_target_, additions.expected_target_);
     }
+    if (!additions.account_.empty())
+    {
+        append_field(output, dialect.account_, additions.account_);
+    }
     append_framing(output, additions.framing_, additions.length_);
     output.append("\r\n");
 }
--- a/modules/av_http/message_writer.hpp
+++ b/modules/av_http/message_writer.hpp
@@ -26,6 +26,8 @@
     std::string_view deployment_;
     // Id of the target that the request is meant for; empty for any.
     std::string_view expected_target_;
+    // Name of the call's account; empty if it has none.
+    std::string_view account_;
     body_framing framing_ = body_framing::none;
     std::uint64_t length_ = 0;
 };
--- a/modules/av_http/request_head.hpp
+++ b/modules/av_http/request_head.hpp
@@ -30,6 +30,14 @@
     bool forwarded_ = false;
     // Deployment of the VM that forwarded the request.
     std::string deployment_;
+    // The key that the caller sent. Secret: neither logged nor forwarded.
+    std::string api_key_;
+    // Whether the field of the key came more than once, so that the key is
+    // ambiguous.
+    bool api_key_repeated_ = false;
+    // Name of the call's account. Only a VM of the same deployment may set it;
+    // what a caller sent is to be ignored.
+    std::string account_;
     bool expects_continue_ = false;
     bool keep_alive_ = true;
     bool http_1_0_ = false;
--- a/modules/av_http/request_reader.cpp
+++ b/modules/av_http/request_reader.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <limits>
 #include <optional>
+#include <utility>
 
 namespace anvilturn
 {
@@ -150,6 +151,17 @@
         {
             head_.deployment_.assign(value);
         }
+        if (is(dialect_.api_key_))
+        {
+            head_.api_key_repeated_ = std::exchange(api_key_seen_, true);
+            head_.api_key_.assign(value);
+            return true;
+        }
+        if (is(dialect_.account_))
+        {
+            head_.account_.assign(value);
+            return true;
+        }
         // Neither the expected target, which VMs set themselves, nor other
         // internal fields, which belong to responses, are forwarded.
         const std::string_view prefix = dialect_.internal_field_prefix_;
@@ -190,6 +202,7 @@
     request_head& head_;
     const header_dialect& dialect_;
     bool host_seen_ = false;
+    bool api_key_seen_ = false;
 };
 
 } // namespace
@@ -204,6 +217,9 @@
     depth_ = 0;
     forwarded_ = false;
     deployment_.clear();
+    api_key_.clear();
+    api_key_repeated_ = false;
+    account_.clear();
     expects_continue_ = false;
     keep_alive_ = true;
     http_1_0_ = false;
--- a/modules/av_model/call_outcome.hpp
+++ b/modules/av_model/call_outcome.hpp
@@ -1,6 +1,7 @@
 #ifndef AV_MODEL_CALL_OUTCOME_HPP
 #define AV_MODEL_CALL_OUTCOME_HPP
 
+#include <cstddef>
 #include <string_view>
 
 namespace anvilturn
@@ -18,6 +19,8 @@
     unknown
 };
 
+constexpr std::size_t call_outcome_count = 3;
+
 // Returns the value of the Anvilturn-Outcome header field.
 constexpr std::string_view name_of(call_outcome value) noexcept
 {
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -200,6 +200,11 @@
     return *service_;
 }
 
+const account_spec* proxied_call::account() const
+{
+    return account_;
+}
+
 void proxied_call::set_target_summary(const target_summary& summary)
 {
     target_summary_ = summary;
@@ -270,6 +275,8 @@
     table_ = worker_.table();
     service_ = nullptr;
     rule_ = nullptr;
+    accounts_.reset();
+    account_ = nullptr;
     worker_state_ = nullptr;
     ticket_.reset();
     started_at_ = arrived_at;
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -86,6 +86,8 @@
     void set_expected_wait(milliseconds value);
     bool is_excluded(const target_state* state) const;
     const service_entry& service() const;
+    // The account on whose behalf the call is made; null if there is none.
+    const account_spec* account() const;
     // Stores the summary of the targets when none was found for the call, for
     // logs.
     void set_target_summary(const target_summary& summary);
@@ -120,6 +122,7 @@
     void prepare_call();
     bool await_configuration();
     std::optional<error_kind> find_service();
+    std::optional<error_kind> find_account();
     bool lacks_configuration() const;
     bool answer_local_path();
     void answer_readiness_check();
@@ -147,7 +150,7 @@
     void respond(error_kind kind);
     void count(error_kind kind);
     void count_answered();
-    void record_call_duration(call_outcome outcome) const;
+    void record_outcome(call_outcome outcome) const;
     milliseconds retry_after(error_kind reason) const;
     void log_attempt_start() const;
     void log_attempt_end(error_kind kind, bool refused) const;
@@ -167,6 +170,10 @@
     std::shared_ptr<const routing_table> table_;
     const service_entry* service_ = nullptr;
     const rule_spec* rule_ = nullptr;
+    // The accounts of the release in force when the call began, which a call
+    // keeps, and its own; null if there are none.
+    std::shared_ptr<const release_accounts> accounts_;
+    const account_spec* account_ = nullptr;
     traffic_class class_ = traffic_class::interactive;
     worker_service_state* worker_state_ = nullptr;
     std::optional<queue_ticket> ticket_;
--- a/modules/av_proxy/proxied_call_attempt.cpp
+++ b/modules/av_proxy/proxied_call_attempt.cpp
@@ -111,6 +111,10 @@
     {
         additions.expected_target_ = target_->name_;
     }
+    if (account_ != nullptr)
+    {
+        additions.account_ = account_->name_;
+    }
     additions.framing_ = head_->framing_;
     additions.length_ = head_->length_;
     if (request_complete_ && head_->framing_ == body_framing::chunked)
--- a/modules/av_proxy/proxied_call_end.cpp
+++ b/modules/av_proxy/proxied_call_end.cpp
@@ -201,8 +201,7 @@
     const bool not_run = lifecycle_.phase() == call_phase::not_run;
     auto& outcome = not_run ? counters.not_run_ : counters.unknown_;
     outcome.fetch_add(1, relaxed);
-    record_call_duration(not_run ? call_outcome::not_run
-                                 : call_outcome::unknown);
+    record_outcome(not_run ? call_outcome::not_run : call_outcome::unknown);
     counters.reasons_[static_cast<std::size_t>(kind)].fetch_add(1, relaxed);
 }
 
@@ -216,22 +215,29 @@
     if (vm_outcome_ == name_of(call_outcome::not_run))
     {
         counters.not_run_.fetch_add(1, relaxed);
-        record_call_duration(call_outcome::not_run);
+        record_outcome(call_outcome::not_run);
     }
     else if (vm_outcome_ == name_of(call_outcome::unknown))
     {
         counters.unknown_.fetch_add(1, relaxed);
-        record_call_duration(call_outcome::unknown);
+        record_outcome(call_outcome::unknown);
     }
     else
     {
         counters.answered_.fetch_add(1, relaxed);
-        record_call_duration(call_outcome::answered);
+        record_outcome(call_outcome::answered);
     }
 }
 
-void proxied_call::record_call_duration(call_outcome outcome) const
+// Records how long the call took, and counts it for its account.
+void proxied_call::record_outcome(call_outcome outcome) const
 {
+    if (account_ != nullptr)
+    {
+        accounts_->counters_of(*account_)
+            .calls_[static_cast<std::size_t>(outcome)]
+            .fetch_add(1, relaxed);
+    }
     auto* const recorder = worker_.core().recorder_;
     if (recorder != nullptr)
     {
@@ -300,6 +306,10 @@
             .field("usual_ms", typical_time(worker_state_->profile_).count())
             .field("retry_tokens", worker_state_->budget_.tokens_);
     }
+    if (account_ != nullptr)
+    {
+        event.field("account", account_->name_);
+    }
     if (work_ != nullptr)
     {
         event.field("work_ms", work_time().count());
@@ -326,6 +336,8 @@
     worker_state_ = nullptr;
     service_ = nullptr;
     table_.reset();
+    accounts_.reset();
+    account_ = nullptr;
     link_.finish_response(keep_alive);
 }
 
--- a/modules/av_proxy/proxied_call_start.cpp
+++ b/modules/av_proxy/proxied_call_start.cpp
@@ -144,16 +144,28 @@
     {
         return error_kind::request_malformed;
     }
-    if (lacks_configuration() ||
+    if (table_->version_ == 0 ||
         (came_from_vm_ && head_->deployment_ != core.settings_.deployment_))
     {
         return error_kind::vm_not_ready;
     }
+    // An unknown key is refused even if no targets are known yet.
+    rule_ = table_->rules_->match(*head_);
+    if (rule_ != nullptr)
+    {
+        if (const auto refusal = find_account())
+        {
+            return refusal;
+        }
+    }
+    if (lacks_configuration())
+    {
+        return error_kind::vm_not_ready;
+    }
     if (head_->depth_ > max_depth)
     {
         return error_kind::depth_exceeded;
     }
-    rule_ = table_->rules_->match(*head_);
     service_ = rule_ == nullptr
                    ? nullptr
                    : table_->find_service(worker_.service_of(*rule_));
@@ -162,10 +174,47 @@
         return error_kind::service_unknown;
     }
     class_ = rule_->class_;
+    if (account_ != nullptr)
+    {
+        class_ = account_->class_.value_or(class_);
+    }
     worker_state_ = &worker_.worker_state_of(*service_);
     return std::nullopt;
 }
 
+// Finds the account of a call whose rule was found. Returns the reason if the
+// call needs one and has none.
+std::optional<error_kind> proxied_call::find_account()
+{
+    accounts_ = table_->accounts_;
+    account_ = nullptr;
+    if (came_from_vm_)
+    {
+        // The other VM has checked the key. If this VM doesn't know the
+        // account, its release is another one; the other VM then serves the
+        // call itself.
+        const auto& name = head_->account_;
+        account_ = accounts_ == nullptr ? nullptr
+                                        : accounts_->table_.find_by_name(name);
+        const bool needs_account = accounts_ != nullptr && !rule_->public_;
+        const bool is_missing = needs_account || !name.empty();
+        return account_ == nullptr && is_missing
+                   ? std::optional<error_kind>(error_kind::vm_not_ready)
+                   : std::nullopt;
+    }
+    if (accounts_ == nullptr)
+    {
+        return std::nullopt;
+    }
+    if (!head_->api_key_repeated_)
+    {
+        account_ = accounts_->table_.find_by_key(head_->api_key_);
+    }
+    return account_ == nullptr && !rule_->public_
+               ? std::optional<error_kind>(error_kind::api_key_unknown)
+               : std::nullopt;
+}
+
 // Returns whether this VM lacks its configuration: its rules, or all targets.
 bool proxied_call::lacks_configuration() const
 {
--- a/modules/av_proxy/request_path.cpp
+++ b/modules/av_proxy/request_path.cpp
@@ -123,10 +123,11 @@
     std::string forward_address_;
     // Serializes publish calls, which come from the control plane.
     std::mutex publish_mutex_;
-    // Without its rules, which are in rules_.
+    // Without its rules and accounts, which are in rules_ and accounts_.
     release release_;
     std::shared_ptr<const rule_matcher> rules_ =
         std::make_shared<const rule_matcher>();
+    std::shared_ptr<const release_accounts> accounts_;
     fleet_view fleet_;
     std::optional<std::map<std::string, target_spec>> registered_;
 
@@ -167,7 +168,8 @@
                                                     : release_.targets_,
                                         fleet_,
                                         core_.workers_.size(),
-                                        previous.get()};
+                                        previous.get(),
+                                        accounts_};
         core_.table_.publish(build_routing_table(input, monotonic_now()));
     }
 
@@ -246,6 +248,12 @@
     implementation_->release_.rules_.clear();
     implementation_->rules_ =
         std::make_shared<const rule_matcher>(value.rules_);
+    implementation_->release_.accounts_.clear();
+    implementation_->accounts_ =
+        value.accounts_.empty()
+            ? nullptr
+            : std::make_shared<const release_accounts>(
+                  value.accounts_, implementation_->accounts_.get());
     implementation_->publish_table();
 }
 
@@ -342,6 +350,10 @@
     {
         add_service(result, service.second, monotonic_now());
     }
+    if (table->accounts_ != nullptr)
+    {
+        result.accounts_ = account_statistics_of(*table->accounts_);
+    }
     return result;
 }
 
--- a/modules/av_proxy/request_path_statistics.hpp
+++ b/modules/av_proxy/request_path_statistics.hpp
@@ -73,6 +73,22 @@
     }
 };
 
+// Calls of one account by outcome.
+struct account_statistics
+{
+    // Empty for all accounts together that are not counted by name.
+    std::string account_;
+    std::uint64_t answered_ = 0;
+    std::uint64_t not_run_ = 0;
+    std::uint64_t unknown_ = 0;
+
+    // Returns all members, for comparison.
+    auto tie() const
+    {
+        return std::tie(account_, answered_, not_run_, unknown_);
+    }
+};
+
 // The request path's counters, services and targets at one point in time.
 // Counts are since the start of the process.
 struct request_path_statistics
@@ -91,6 +107,8 @@
     int caller_connections_ = 0;
     std::vector<service_statistics> services_;
     std::vector<target_statistics> targets_;
+    // At most max_counted_accounts by name, and the others as one.
+    std::vector<account_statistics> accounts_;
 
     // Returns all members, for comparison.
     auto tie() const
@@ -105,7 +123,8 @@
                         calls_in_flight_,
                         caller_connections_,
                         services_,
-                        targets_);
+                        targets_,
+                        accounts_);
     }
 };
 
--- a/modules/av_proxy/response_status.cpp
+++ b/modules/av_proxy/response_status.cpp
@@ -10,6 +10,8 @@
     case error_kind::request_malformed:
     case error_kind::depth_exceeded:
         return 400;
+    case error_kind::api_key_unknown:
+        return 401;
     case error_kind::service_unknown:
         return 404;
     case error_kind::request_too_slow:
--- a/modules/av_proxy/routing_table.cpp
+++ b/modules/av_proxy/routing_table.cpp
@@ -137,6 +137,7 @@
     auto table = std::make_shared<routing_table>();
     table->version_ = input.release_.version_;
     table->rules_ = input.rules_;
+    table->accounts_ = input.accounts_;
     for (const auto& entry : input.release_.services_)
     {
         auto& service = table->services_[entry.first];
--- a/modules/av_proxy/routing_table.hpp
+++ b/modules/av_proxy/routing_table.hpp
@@ -3,6 +3,7 @@
 
 #include <av_model/fleet_view.hpp>
 #include <av_model/release.hpp>
+#include <av_proxy/release_accounts.hpp>
 #include <av_proxy/rule_matcher.hpp>
 #include <av_proxy/service_state.hpp>
 #include <av_proxy/target_state.hpp>
@@ -56,6 +57,8 @@
     // Shared by the tables of one release; never null.
     std::shared_ptr<const rule_matcher> rules_ =
         std::make_shared<const rule_matcher>();
+    // Shared by the tables of one release; null if it has no accounts.
+    std::shared_ptr<const release_accounts> accounts_;
     std::map<std::string, service_entry, std::less<>> services_;
     // States of the VMs that calls are forwarded to, by forward address.
     std::map<std::string, std::shared_ptr<target_state>> vms_;
@@ -76,6 +79,8 @@
     std::size_t thread_count_ = 1;
     // The table that is replaced; null if there is none.
     const routing_table* previous_ = nullptr;
+    // Null if the release has no accounts.
+    std::shared_ptr<const release_accounts> accounts_ = nullptr;
 };
 
 // Builds a table. Carries over the states of targets that keep their name,
