--- a/modules/av_core/error.cpp
+++ b/modules/av_core/error.cpp
@@ -144,6 +144,16 @@
          "retry_budget_spent",
          code::kResourceExhausted,
          "send the call again later; operators: look for failing targets"},
+        {kind::quota_exceeded,
+         "quota_exceeded",
+         code::kResourceExhausted,
+         "send the call again after Retry-After; if this lasts, ask for a "
+         "higher quota of the account"},
+        {kind::quota_unknown,
+         "quota_unknown",
+         code::kUnavailable,
+         "send the call again to any VM; if this lasts, check that the VMs "
+         "named as seed peers are running"},
         {kind::depth_exceeded,
          "depth_exceeded",
          code::kInvalidArgument,
--- a/modules/av_core/error.hpp
+++ b/modules/av_core/error.hpp
@@ -43,6 +43,8 @@
     vm_stopping,
     vm_not_ready,
     retry_budget_spent,
+    quota_exceeded,
+    quota_unknown,
     depth_exceeded,
     target_unreachable,
     target_refused,
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -79,7 +79,7 @@
 void proxied_call::on_request_body(bool complete)
 {
     request_complete_ = complete;
-    if (awaits_configuration_)
+    if (awaits_configuration_ || awaits_permit_)
     {
         return;
     }
@@ -113,6 +113,7 @@
     {
         connection->abandon();
         lifecycle_.end_attempt({});
+        release_attempt_permits(false);
         const auto service = service_->state_;
         release_target();
         worker_.on_slot_freed(service);
@@ -277,6 +278,9 @@
     rule_ = nullptr;
     accounts_.reset();
     account_ = nullptr;
+    account_permit_.reset();
+    target_permit_.reset();
+    awaits_permit_ = false;
     worker_state_ = nullptr;
     ticket_.reset();
     started_at_ = arrived_at;
@@ -330,6 +334,11 @@
         start_attempt(service_->dispatcher_target_, true);
         return;
     }
+    if (!has_account_permit())
+    {
+        request_account_permit();
+        return;
+    }
     worker_.dispatch_or_enqueue(*this, link_.share_call());
 }
 
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -12,10 +12,12 @@
 #include <av_model/call_outcome.hpp>
 #include <av_proxy/attempt_observer.hpp>
 #include <av_proxy/caller_link.hpp>
+#include <av_proxy/held_permit.hpp>
 #include <av_proxy/routing_table.hpp>
 #include <av_proxy/target_connection.hpp>
 #include <av_routing/target_summary.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -25,6 +27,7 @@
 namespace anvilturn
 {
 
+struct permit_answer;
 class worker;
 struct worker_service_state;
 
@@ -129,6 +132,14 @@
     void route_call();
     bool is_too_late_for_stop() const;
     bool should_forward() const;
+    bool has_account_permit();
+    void request_account_permit();
+    void on_account_permit(const permit_answer& answer);
+    void take_cold_permit(const target_entry& target);
+    bool may_send_now();
+    void spend_permits();
+    void release_attempt_permits(bool refused);
+    void return_permit(std::optional<held_permit>& permit);
     void start_attempt(const target_entry& target, bool to_vm);
     void send_body();
     void record_response_head(const response_head& head);
@@ -174,6 +185,13 @@
     // keeps, and its own; null if there are none.
     std::shared_ptr<const release_accounts> accounts_;
     const account_spec* account_ = nullptr;
+    std::optional<held_permit> account_permit_;
+    // Of the target of this attempt, if that is cold.
+    std::optional<held_permit> target_permit_;
+    bool awaits_permit_ = false;
+    // Counts the requests of all calls of the connection, since the response to
+    // one of an earlier call may arrive during a later one.
+    std::uint64_t permit_requests_ = 0;
     traffic_class class_ = traffic_class::interactive;
     worker_service_state* worker_state_ = nullptr;
     std::optional<queue_ticket> ticket_;
--- a/modules/av_proxy/proxied_call_attempt.cpp
+++ b/modules/av_proxy/proxied_call_attempt.cpp
@@ -29,6 +29,7 @@
         release_target();
         return;
     }
+    take_cold_permit(target);
     if (++attempts_ == 1)
     {
         worker_state_->budget_ =
@@ -93,10 +94,10 @@
         end_attempt(error_kind::deadline_exceeded, false);
         return;
     }
-    if (was_paused(attempt_started_at_, now))
+    if (was_paused(attempt_started_at_, now) || !may_send_now())
     {
-        // The choice was made before the pause and may be outdated; nothing was
-        // sent yet, so choose again.
+        // The choice may be outdated, or a permit that it was based on has
+        // expired; nothing was sent yet, so choose again.
         end_attempt(error_kind::target_answer_lost, false);
         return;
     }
@@ -123,6 +124,7 @@
         additions.length_ = body_.size();
     }
     body_framing_ = additions.framing_;
+    spend_permits();
     write_request_head(connection.output(),
                        *head_,
                        additions,
--- a/modules/av_proxy/proxied_call_end.cpp
+++ b/modules/av_proxy/proxied_call_end.cpp
@@ -18,6 +18,7 @@
 namespace
 {
 
+constexpr int too_many_status = 429;
 constexpr int busy_status = 503;
 constexpr auto relaxed = std::memory_order_relaxed;
 
@@ -38,6 +39,7 @@
     const bool budget_exempt = to_vm_ || nothing_sent;
     possible_runs_ += nothing_sent || refused ? 0 : 1;
     log_attempt_end(kind, refused);
+    release_attempt_permits(refused);
     release_connection(kind, refused);
     attempt_summary result;
     result.target_refused_ = refused;
@@ -112,6 +114,7 @@
 void proxied_call::abort_connection(error_kind kind)
 {
     count(kind);
+    return_permit(account_permit_);
     active_ = false;
     worker_.counters().calls_.fetch_sub(1, relaxed);
     link_.abort_connection();
@@ -140,7 +143,7 @@
         name_of(not_run ? call_outcome::not_run : call_outcome::unknown);
     response.reason_ = entry.name_;
     response.text_ = entry.remedy_;
-    if (response.status_ == busy_status)
+    if (response.status_ == busy_status || response.status_ == too_many_status)
     {
         response.retry_after_ = retry_after(reason);
     }
@@ -338,6 +341,7 @@
     table_.reset();
     accounts_.reset();
     account_ = nullptr;
+    return_permit(account_permit_);
     link_.finish_response(keep_alive);
 }
 
--- /dev/null
+++ b/modules/av_proxy/proxied_call_permits.cpp
@@ -0,0 +1,134 @@
+// The permits that a call needs because of limits that hold for all VMs
+// together: one of its account before it waits for a target, and one of the
+// target if that is cold.
+
+#include <av_proxy/proxied_call.hpp>
+
+#include <av_grants/permit_client.hpp>
+#include <av_proxy/worker.hpp>
+
+#include <utility>
+
+namespace anvilturn
+{
+
+// Returns whether the quota of the account allows the call to be sent now.
+bool proxied_call::has_account_permit()
+{
+    if (account_ == nullptr || worker_.permits() == nullptr ||
+        !account_limit(*account_, worker_.core().settings_.limit_bounds_))
+    {
+        return true;
+    }
+    if (!account_permit_)
+    {
+        return false;
+    }
+    if (account_permit_->spent_ ||
+        worker_.now() >= account_permit_->expires_at_)
+    {
+        account_permit_.reset();
+    }
+    return account_permit_.has_value();
+}
+
+// Takes a permit of the account, then routes the call. It may be that the call
+// has ended when this returns.
+void proxied_call::request_account_permit()
+{
+    awaits_permit_ = true;
+    const auto request = ++permit_requests_;
+    const limit_key key{limit_kind::account, account_->name_};
+    worker_.permits()->acquire(
+        key,
+        [this, call = link_.share_call(), &owner = worker_, request, key](
+            const permit_answer& answer)
+        {
+            const bool is_current =
+                active_ && awaits_permit_ && request == permit_requests_;
+            if (is_current)
+            {
+                on_account_permit(answer);
+            }
+            else if (answer.result_ == permit_result::granted)
+            {
+                owner.permits()->give_back(key, answer.expires_at_);
+            }
+        });
+}
+
+void proxied_call::on_account_permit(const permit_answer& answer)
+{
+    awaits_permit_ = false;
+    if (answer.result_ == permit_result::granted)
+    {
+        account_permit_ = held_permit{{limit_kind::account, account_->name_},
+                                      answer.expires_at_};
+        route_call();
+        return;
+    }
+    set_expected_wait(answer.retry_after_);
+    const bool over_limit = answer.result_ == permit_result::over_limit;
+    refuse(over_limit ? error_kind::quota_exceeded : error_kind::quota_unknown);
+}
+
+// Takes the permit that the choice of a cold target was based on.
+void proxied_call::take_cold_permit(const target_entry& target)
+{
+    if (const auto expires_at = worker_.take_cold_permit(target))
+    {
+        target_permit_ = held_permit{
+            {limit_kind::cold_target, target.spec_.name_}, *expires_at};
+    }
+}
+
+// Returns whether the call may be sent to the chosen target now. The permits
+// may have expired since the choice, or the target may have become cold.
+bool proxied_call::may_send_now()
+{
+    if (to_vm_)
+    {
+        return true;
+    }
+    const auto now = worker_.now();
+    const bool needs_target_permit =
+        worker_.limits_cold_targets(*service_) && is_cold(*target_, now);
+    const bool has_target_permit =
+        target_permit_ && now < target_permit_->expires_at_;
+    return has_account_permit() && (!needs_target_permit || has_target_permit);
+}
+
+void proxied_call::spend_permits()
+{
+    for (auto* permit : {&account_permit_, &target_permit_})
+    {
+        if (*permit)
+        {
+            (*permit)->spent_ = true;
+        }
+    }
+}
+
+// Ends the use of the permits by an attempt. A target that refused the call has
+// not run it, which the quota of the account does not count, whereas the limit
+// of a cold target counts each call that is sent.
+void proxied_call::release_attempt_permits(bool refused)
+{
+    if (account_permit_ && refused)
+    {
+        account_permit_->spent_ = false;
+    }
+    return_permit(target_permit_);
+}
+
+// Gives a permit that was not spent back.
+void proxied_call::return_permit(std::optional<held_permit>& permit)
+{
+    const auto returned = std::exchange(permit, std::nullopt);
+    if (returned && !returned->spent_)
+    {
+        worker_.permits()->give_back(returned->key_, returned->expires_at_);
+    }
+}
+
+} // namespace anvilturn
--- a/modules/av_proxy/proxied_call_response.cpp
+++ b/modules/av_proxy/proxied_call_response.cpp
@@ -84,6 +84,7 @@
     attempt_summary result;
     result.response_complete_ = true;
     lifecycle_.end_attempt(result);
+    release_attempt_permits(false);
     if (reusable)
     {
         connection->return_to_pool(worker_.now());
--- a/modules/av_proxy/response_status.cpp
+++ b/modules/av_proxy/response_status.cpp
@@ -18,6 +18,8 @@
         return 408;
     case error_kind::request_body_too_large:
         return 413;
+    case error_kind::quota_exceeded:
+        return 429;
     case error_kind::request_header_too_large:
         return 431;
     case error_kind::target_answer_lost:
--- a/modules/av_proxy/worker.cpp
+++ b/modules/av_proxy/worker.cpp
@@ -102,6 +102,11 @@
     , split_phase_(unit_interval(random_()))
     , load_query_sender_(*this)
 {
+    if (!core_.settings_.permits_.grantors_.empty())
+    {
+        permits_ =
+            std::make_unique<permit_client>(context_, core_.settings_.permits_);
+    }
 }
 
 worker::~worker()
@@ -114,6 +119,7 @@
     pending_timer_.cancel();
     load_query_sender_.stop();
     close_all_connections();
+    permits_.reset();
     // Runs the handlers of the cancelled operations, so that they release their
     // references to this object.
     context_.restart();
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -4,6 +4,7 @@
 #define AV_PROXY_WORKER_HPP
 
 #include <av_core/snapshot_cell.hpp>
+#include <av_grants/permit_client.hpp>
 #include <av_limits/call_queue.hpp>
 #include <av_limits/drain_rate.hpp>
 #include <av_limits/load_profile.hpp>
@@ -27,6 +28,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -162,6 +164,17 @@
     // response.
     void on_load_query_ended(const std::string& service);
 
+    // Returns the permits that this thread holds; null if there are no limits
+    // for all VMs together.
+    permit_client* permits();
+
+    // Returns whether calls to cold targets of the service need a permit.
+    bool limits_cold_targets(const service_entry& service) const;
+
+    // Takes the permit that this thread holds for a cold target. Returns when
+    // it expires; nothing if there is none.
+    std::optional<milliseconds> take_cold_permit(const target_entry& target);
+
     // Returns an idle connection to the target, or a new one. Never null.
     std::shared_ptr<target_connection> connect(const target_entry& target);
 
@@ -173,7 +186,22 @@
         none
     };
 
+    // A permit for one cold target.
+    struct cold_permit
+    {
+        milliseconds expires_at_{0.0};
+        // Whether one is being requested.
+        bool requested_ = false;
+        // No grantor has one before this point in time.
+        milliseconds refused_until_{0.0};
+    };
+
     std::vector<worker_service_state*> worker_states();
+    void apply_cold_permit(const target_entry& target, target_view& view);
+    void request_cold_permit(const service_entry& service,
+                             const proxied_call& call);
+    void on_cold_permit(const std::string& target, const permit_answer& answer);
+    void drop_expired_cold_permits();
     bool has_idle_connection(const target_entry& target) const;
     std::size_t waiting_with(const service_entry& service,
                              const proxied_call* call) const;
@@ -262,6 +290,9 @@
     // By name of the rule.
     absl::flat_hash_map<std::string, std::shared_ptr<work_estimate>> rule_work_;
     load_query_sender load_query_sender_;
+    // By name of the target.
+    absl::flat_hash_map<std::string, cold_permit> cold_permits_;
+    std::unique_ptr<permit_client> permits_;
     bool finished_ = false;
     unsigned ticks_ = 0;
 };
--- a/modules/av_proxy/worker_choice.cpp
+++ b/modules/av_proxy/worker_choice.cpp
@@ -168,7 +168,7 @@
     input.isolated_ = core_.isolated_.load(relaxed);
     views_.clear();
     const bool queries_first = uses_load_queries(service);
-    const bool limits_cold_targets = service.spec_.cold_rate_per_second_ > 0.0;
+    const bool limits_cold = limits_cold_targets(service);
     const auto* const profile =
         queries_first ? &worker_state_of(service).profile_ : nullptr;
     for (const auto& target : service.targets_)
@@ -184,10 +184,13 @@
             status == target_eligibility::eligible &&
             (call == nullptr || !call->is_excluded(target.state_.get()));
         view.same_domain_ = target.same_domain_;
-        view.cold_ = limits_cold_targets && is_cold(*target.state_, input.now_);
         view.local_limit_ = concurrency_limit_for(service, target);
         view.best_concurrency_ = best;
         view.has_connection_ = has_idle_connection(target);
+        if (limits_cold)
+        {
+            apply_cold_permit(target, view);
+        }
         views_.push_back(view);
     }
     exclude_outliers(views_, service.targets_, input.now_);
--- a/modules/av_proxy/worker_maintenance.cpp
+++ b/modules/av_proxy/worker_maintenance.cpp
@@ -39,6 +39,7 @@
     refill_load_query_tokens();
     load_query_sender_.drop_overdue(now());
     drop_removed_state();
+    drop_expired_cold_permits();
     check_stragglers();
     close_idle_target_connections();
     if (core_.finishing_.load())
--- /dev/null
+++ b/modules/av_proxy/worker_permits.cpp
@@ -0,0 +1,115 @@
+// The part of the worker that holds permits for cold targets.
+
+#include <av_proxy/worker.hpp>
+
+#include <av_proxy/proxied_call.hpp>
+
+#include <boost/asio/post.hpp>
+
+namespace anvilturn
+{
+
+permit_client* worker::permits()
+{
+    return permits_.get();
+}
+
+bool worker::limits_cold_targets(const service_entry& service) const
+{
+    return permits_ != nullptr &&
+           cold_target_limit(service.spec_, core_.settings_.limit_bounds_);
+}
+
+// Sets what the choice needs to know of a cold target. One for which a permit
+// was refused has no room for a while.
+void worker::apply_cold_permit(const target_entry& target, target_view& view)
+{
+    view.cold_ = is_cold(*target.state_, cached_now_);
+    if (!view.cold_)
+    {
+        return;
+    }
+    const auto found = cold_permits_.find(target.spec_.name_);
+    if (found == cold_permits_.end())
+    {
+        return;
+    }
+    view.has_permit_ = found->second.expires_at_ > cached_now_;
+    if (!view.has_permit_ && found->second.refused_until_ > cached_now_)
+    {
+        view.local_limit_ = 0;
+    }
+}
+
+// Requests a permit for the cold target that the policy names, if no other
+// target can take the call.
+void worker::request_cold_permit(const service_entry& service,
+                                 const proxied_call& call)
+{
+    if (service.policy_->choose_cold_target_ == nullptr ||
+        !limits_cold_targets(service))
+    {
+        return;
+    }
+    const auto index =
+        service.policy_->choose_cold_target_(input_for(service, &call));
+    if (!index)
+    {
+        return;
+    }
+    const auto& name = service.targets_[*index].spec_.name_;
+    auto& permit = cold_permits_[name];
+    if (std::exchange(permit.requested_, true))
+    {
+        return;
+    }
+    permits_->acquire(
+        {limit_kind::cold_target, name},
+        [this, name, service = service.state_](const permit_answer& answer)
+        {
+            on_cold_permit(name, answer);
+            post_dispatch_waiting(service);
+        });
+}
+
+void worker::on_cold_permit(const std::string& target,
+                            const permit_answer& answer)
+{
+    auto& permit = cold_permits_[target];
+    permit.requested_ = false;
+    if (answer.result_ == permit_result::granted)
+    {
+        permit.expires_at_ = answer.expires_at_;
+        permit.refused_until_ = milliseconds(0.0);
+        return;
+    }
+    permit.refused_until_ = monotonic_now() + answer.retry_after_;
+}
+
+std::optional<milliseconds> worker::take_cold_permit(const target_entry& target)
+{
+    const auto found = cold_permits_.find(target.spec_.name_);
+    if (found == cold_permits_.end() ||
+        found->second.expires_at_ <= cached_now_)
+    {
+        return std::nullopt;
+    }
+    return std::exchange(found->second.expires_at_, milliseconds(0.0));
+}
+
+// Removes what is no longer needed, so that it doesn't grow with the targets
+// that were ever cold. Permits that expired unused were for calls that another
+// target took.
+void worker::drop_expired_cold_permits()
+{
+    absl::erase_if(cold_permits_,
+                   [this](const auto& entry)
+                   {
+                       const auto& permit = entry.second;
+                       return !permit.requested_ &&
+                              permit.expires_at_ <= cached_now_ &&
+                              permit.refused_until_ <= cached_now_;
+                   });
+}
+
+} // namespace anvilturn
--- a/modules/av_proxy/worker_queue.cpp
+++ b/modules/av_proxy/worker_queue.cpp
@@ -297,6 +297,10 @@
         {
             const bool queried =
                 send_load_queries(*service, worker_state, *head);
+            if (!queried)
+            {
+                request_cold_permit(*service, *head);
+            }
             schedule_waiting_poll(queried ? load_query_poll_interval
                                           : poll_interval);
             return;
