--- a/modules/av_proxy/proxied_call_permits.cpp
+++ b/modules/av_proxy/proxied_call_permits.cpp
@@ -37,6 +37,7 @@
 void proxied_call::request_account_permit()
 {
     awaits_permit_ = true;
+    link_.update_timer();
     const auto request = ++permit_requests_;
     const limit_key key{limit_kind::account, account_->name_};
     worker_.permits()->acquire(
@@ -125,9 +126,10 @@
 void proxied_call::return_permit(std::optional<held_permit>& permit)
 {
     const auto returned = std::exchange(permit, std::nullopt);
-    if (returned && !returned->spent_)
+    auto* const permits = worker_.permits();
+    if (returned && !returned->spent_ && permits != nullptr)
     {
-        worker_.permits()->give_back(returned->key_, returned->expires_at_);
+        permits->give_back(returned->key_, returned->expires_at_);
     }
 }
 
--- a/modules/av_proxy/worker_permits.cpp
+++ b/modules/av_proxy/worker_permits.cpp
@@ -2,9 +2,10 @@
 
 #include <av_proxy/worker.hpp>
 
+#include <av_core/monotonic_clock.hpp>
 #include <av_proxy/proxied_call.hpp>
 
-#include <boost/asio/post.hpp>
+#include <utility>
 
 namespace anvilturn
 {
