--- a/modules/av_replication/update_codec.cpp
+++ b/modules/av_replication/update_codec.cpp
@@ -1,14 +1,9 @@
 #include <av_replication/update_codec.hpp>
 
-#include <av_core/error.hpp>
+#include <av_net/capnp_frame.hpp>
 #include <av_replication/mirror.capnp.h>
 
-#include <capnp/message.h>
-#include <capnp/serialize.h>
-#include <zlib.h>
-
 #include <algorithm>
-#include <cstring>
 #include <limits>
 
 namespace anvilturn
@@ -16,20 +11,6 @@
 namespace
 {
 
-constexpr unsigned bits_per_byte = 8;
-// Compression saves little on shorter messages.
-constexpr std::size_t min_bytes_to_compress = 512;
-
-capnp::Text::Reader to_text(const std::string& value)
-{
-    return {value.c_str(), value.size()};
-}
-
-std::string to_string(capnp::Text::Reader text)
-{
-    return {text.begin(), text.size()};
-}
-
 template <typename Texts>
 void fill_texts(capnp::List<capnp::Text>::Builder builder, const Texts& values)
 {
@@ -58,103 +39,6 @@
     return static_cast<traffic_class>(std::min(value, lowest_class));
 }
 
-// Returns the compressed bytes; an empty string if there are few bytes or if
-// compression does not make them fewer.
-std::string compress_large(std::string_view bytes)
-{
-    if (bytes.size() < min_bytes_to_compress)
-    {
-        return {};
-    }
-    auto size = ::compressBound(bytes.size());
-    std::string result(size, '\0');
-    const int status = ::compress2(reinterpret_cast<Bytef*>(result.data()),
-                                   &size,
-                                   reinterpret_cast<const Bytef*>(bytes.data()),
-                                   bytes.size(),
-                                   Z_BEST_SPEED);
-    if (status != Z_OK || size >= bytes.size())
-    {
-        return {};
-    }
-    result.resize(size);
-    return result;
-}
-
-void append_length(std::string& frame, std::size_t length)
-{
-    for (unsigned i = 0; i < frame_header_bytes; ++i)
-    {
-        frame += static_cast<char>(length >> (i * bits_per_byte));
-    }
-}
-
-// Returns the frame of the message: the length of the body, then the body. The
-// body begins with the uncompressed length of the message if that is
-// compressed, otherwise with zero.
-std::string to_frame(capnp::MessageBuilder& message)
-{
-    const auto words = capnp::messageToFlatArray(message);
-    const auto array = words.asBytes();
-    const std::string_view bytes(reinterpret_cast<const char*>(array.begin()),
-                                 array.size());
-    const auto compressed = compress_large(bytes);
-    const auto& content = compressed.empty() ? bytes : compressed;
-    std::string frame;
-    frame.reserve(2 * frame_header_bytes + content.size());
-    append_length(frame, frame_header_bytes + content.size());
-    append_length(frame, compressed.empty() ? 0 : bytes.size());
-    frame.append(content);
-    return frame;
-}
-
-absl::Status malformed(const std::string& what)
-{
-    return make_error(error_kind::peer_malformed,
-                      "malformed replication message: " + what);
-}
-
-// Returns the message in the body, decompressed if necessary.
-absl::StatusOr<std::string> decode_body(std::string_view body)
-{
-    if (body.size() < frame_header_bytes)
-    {
-        return malformed("shorter than its header");
-    }
-    const auto length = frame_length(body);
-    body.remove_prefix(frame_header_bytes);
-    if (length == 0)
-    {
-        return std::string(body);
-    }
-    if (length > max_frame_bytes)
-    {
-        return malformed("uncompressed length exceeds the size limit");
-    }
-    std::string message(length, '\0');
-    uLongf size = length;
-    const int status = ::uncompress(reinterpret_cast<Bytef*>(message.data()),
-                                    &size,
-                                    reinterpret_cast<const Bytef*>(body.data()),
-                                    body.size());
-    if (status != Z_OK || size != length)
-    {
-        return malformed("can't be decompressed to the stated length");
-    }
-    return message;
-}
-
-// Copies the bytes to aligned words, padded with zeros, as Cap'n Proto requires
-// them.
-kj::Array<capnp::word> to_words(std::string_view bytes)
-{
-    auto words = kj::heapArray<capnp::word>(
-        (bytes.size() + sizeof(capnp::word) - 1) / sizeof(capnp::word));
-    std::memset(words.begin(), 0, words.size() * sizeof(capnp::word));
-    std::memcpy(words.begin(), bytes.data(), bytes.size());
-    return words;
-}
-
 void fill(wire::RegisteredTarget::Builder builder, const target_change& change)
 {
     builder.setName(to_text(change.object_.name_));
@@ -329,30 +213,6 @@
     return value;
 }
 
-// Decodes the body and calls the function to read its message. Cap'n Proto
-// throws on malformed bytes; this becomes peer_malformed.
-template <typename Value, typename Read>
-absl::StatusOr<Value> read_message(std::string_view bytes, Read read)
-{
-    const auto message_bytes = decode_body(bytes);
-    if (!message_bytes.ok())
-    {
-        return message_bytes.status();
-    }
-    try
-    {
-        const auto words = to_words(*message_bytes);
-        capnp::ReaderOptions options;
-        options.traversalLimitInWords = max_frame_bytes / sizeof(capnp::word);
-        capnp::FlatArrayMessageReader message(words, options);
-        return read(message);
-    }
-    catch (const kj::Exception& error)
-    {
-        return malformed(error.getDescription().cStr());
-    }
-}
-
 } // namespace
 
 std::string write_subscription(const replication_position& position)
@@ -408,22 +268,11 @@
     return to_frame(message);
 }
 
-std::size_t frame_length(std::string_view header)
-{
-    std::size_t length = 0;
-    for (unsigned i = 0; i < frame_header_bytes; ++i)
-    {
-        length |=
-            static_cast<std::size_t>(static_cast<unsigned char>(header[i]))
-            << (i * bits_per_byte);
-    }
-    return length;
-}
-
 absl::StatusOr<replication_position> read_subscription(std::string_view bytes)
 {
     return read_message<replication_position>(
         bytes,
+        max_frame_bytes,
         [](capnp::MessageReader& message)
         {
             const auto reader = message.getRoot<wire::Subscription>();
@@ -442,6 +291,7 @@
 {
     return read_message<registry_update>(
         bytes,
+        max_frame_bytes,
         [&defaults](capnp::MessageReader& message)
         {
             const auto reader = message.getRoot<wire::Update>();
--- a/modules/av_replication/update_codec.hpp
+++ b/modules/av_replication/update_codec.hpp
@@ -2,30 +2,21 @@
 #define AV_REPLICATION_UPDATE_CODEC_HPP
 
 #include <av_model/service_spec.hpp>
+#include <av_net/message_frame.hpp>
 #include <av_replication/registry_update.hpp>
 
 #include <absl/status/statusor.h>
 
-#include <cstddef>
 #include <string>
 #include <string_view>
 
 namespace anvilturn
 {
 
-// Size of the length field before each message, a little-endian number that
-// counts the bytes after it.
-constexpr std::size_t frame_header_bytes = 4;
-// Longer messages are rejected.
-constexpr std::size_t max_frame_bytes = 16 * 1024 * 1024;
-
 // Return the encoded message, preceded by its length.
 std::string write_subscription(const replication_position& position);
 std::string write_update(const registry_update& update);
 
-// Returns the number of bytes that follow the frame header.
-std::size_t frame_length(std::string_view header);
-
 // Decode a message without the length before it; peer_malformed if it is not
 // valid. The defaults apply to each service and are not transmitted, since
 // every VM has them from its settings.
