--- /dev/null
+++ b/modules/av_grants/tests/grantor_failure_test.cpp
@@ -0,0 +1,157 @@
+#include "grants_fixture.hpp"
+
+namespace anvilturn
+{
+namespace
+{
+
+BOOST_FIXTURE_TEST_SUITE(grantor_failure_test, grants_fixture)
+
+// A paused grantor must delay a call for 60 ms at most, and few calls.
+BOOST_AUTO_TEST_CASE(after_a_silent_grantor_the_next_is_asked)
+{
+    scripted_grantor silent(context_, no_reply);
+    start_client({silent.address(), add_server(always(ample_limit()))});
+    int asked = 0;
+    milliseconds longest;
+    const auto began_at = monotonic_now();
+    for (int i = 0; i < 20; ++i)
+    {
+        const auto began = monotonic_now();
+        BOOST_TEST(
+            is_granted(acquire({limit_kind::account, std::to_string(i)})));
+        const auto took = monotonic_now() - began;
+        asked += took >= milliseconds(55.0) ? 1 : 0;
+        longest = std::max(longest, took);
+    }
+    // It is tried again each 500 ms.
+    const auto tries = 1.0 + (monotonic_now() - began_at).count() / 500.0;
+    BOOST_TEST(asked >= 1);
+    BOOST_TEST(static_cast<double>(silent.queries().size()) <= tries);
+    BOOST_TEST(counters_->failed_queries_ == silent.queries().size());
+    BOOST_TEST(longest.count() < 500.0);
+    BOOST_TEST(counters_->unreachable_grantors_ == 1);
+}
+
+// Only a VM that can't reach a grantor may draw on the reserve of the others.
+BOOST_AUTO_TEST_CASE(the_reserve_is_asked_for_only_without_another_grantor)
+{
+    const permit_grant refusal{0, milliseconds(0.0), milliseconds(20000.0)};
+    scripted_grantor refusing(context_,
+                              [&refusal](const permit_query& query)
+                              {
+                                  return grant_each(query, refusal);
+                              });
+    scripted_grantor silent(context_, no_reply);
+    start_client({refusing.address()});
+    BOOST_TEST((acquire().result_ == permit_result::over_limit));
+    BOOST_REQUIRE(refusing.queries().size() == 1U);
+    BOOST_TEST(!refusing.queries()[0].requests_[0].may_use_reserve_);
+    // Whether the silent one is asked first or last, the last request is made
+    // with the knowledge that it is.
+    for (const char* name : {"a", "b", "c", "d", "e", "f"})
+    {
+        start_client({refusing.address(), silent.address()});
+        BOOST_TEST((acquire({limit_kind::account, name}).result_ ==
+                    permit_result::over_limit));
+        BOOST_TEST(refusing.queries().back().requests_.back().may_use_reserve_);
+    }
+}
+
+// The permits of a lost answer are spent at the grantor. The VM must not count
+// them as its own, and must not wait for them.
+BOOST_AUTO_TEST_CASE(after_a_lost_answer_the_next_grantor_is_asked)
+{
+    scripted_grantor losing(context_, no_reply);
+    losing.close_after_query();
+    start_client({losing.address()});
+    BOOST_TEST((acquire().result_ == permit_result::unavailable));
+    BOOST_TEST(losing.queries().size() == 1U);
+    start_client({losing.address(), add_server(always(ample_limit()))});
+    for (int i = 0; i < 10; ++i)
+    {
+        BOOST_TEST(
+            is_granted(acquire({limit_kind::account, std::to_string(i)})));
+    }
+}
+
+// A grantor that is slow for a moment has spent the permits; they must be used
+// as long as they are valid, and the grantor must count as reachable.
+BOOST_AUTO_TEST_CASE(a_late_answer_is_used)
+{
+    scripted_grantor slow(context_, no_reply);
+    start_client({slow.address()});
+    BOOST_TEST((acquire().result_ == permit_result::unavailable));
+    BOOST_TEST(counters_->unreachable_grantors_ == 1);
+    const auto query = slow.queries().front();
+    slow.send(grant_each(query, {1, milliseconds(5000.0), milliseconds(0.0)}));
+    BOOST_TEST(run_until(
+        [this]
+        {
+            return counters_->unreachable_grantors_ == 0;
+        }));
+    BOOST_TEST(is_granted(acquire()));
+}
+
+// A permit whose lease ended on its way must not be used.
+BOOST_AUTO_TEST_CASE(an_expired_answer_is_not_used)
+{
+    scripted_grantor slow(context_, no_reply);
+    start_client({slow.address()});
+    BOOST_TEST((acquire().result_ == permit_result::unavailable));
+    slow.send(grant_each(slow.queries().front(),
+                         {1, milliseconds(10.0), milliseconds(0.0)}));
+    run_for(milliseconds(30.0));
+    BOOST_TEST((acquire().result_ == permit_result::unavailable));
+}
+
+// The bounds must hold again, and calls be sent again, 2 s after an owner of
+// limits was killed and started again.
+BOOST_AUTO_TEST_CASE(a_restarted_grantor_is_used_again_within_2_s)
+{
+    const auto address = add_server(always(ample_limit()));
+    start_client({address});
+    BOOST_TEST(is_granted(acquire()));
+    servers_.clear();
+    // Permits that are held may be used until they expire.
+    run_for(milliseconds(600.0));
+    BOOST_TEST((acquire().result_ == permit_result::unavailable));
+    BOOST_TEST(counters_->unreachable_grantors_ == 1);
+    add_server(always(ample_limit()), address);
+    const auto began = monotonic_now();
+    bool granted = false;
+    while (!granted && monotonic_now() - began < milliseconds(2000.0))
+    {
+        granted = is_granted(acquire());
+        run_for(milliseconds(10.0));
+    }
+    BOOST_TEST(granted);
+    BOOST_TEST(counters_->unreachable_grantors_ == 0);
+}
+
+// A grantor that is down must not be tried by each call.
+BOOST_AUTO_TEST_CASE(an_unreachable_grantor_is_not_retried_for_500_ms)
+{
+    const auto address = add_server(always(ample_limit()));
+    servers_.clear();
+    start_client({address});
+    const auto began = monotonic_now();
+    while (monotonic_now() - began < milliseconds(400.0))
+    {
+        const auto answer = acquire();
+        BOOST_TEST((answer.result_ == permit_result::unavailable));
+        BOOST_TEST((answer.retry_after_ > milliseconds(0.0)));
+        run_for(milliseconds(10.0));
+    }
+    const auto tries = 1.0 + (monotonic_now() - began).count() / 500.0;
+    const auto queries = counters_->queries_.load();
+    BOOST_TEST(static_cast<double>(queries) <= tries);
+    run_for(milliseconds(550.0));
+    (void)acquire();
+    BOOST_TEST(counters_->queries_ == queries + 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace anvilturn
