--- a/modules/av_settings/settings.hpp
+++ b/modules/av_settings/settings.hpp
@@ -40,6 +40,11 @@
         return services_;
     }
 
+    const fleet_limit_settings& fleet_limits() const noexcept
+    {
+        return fleet_limits_;
+    }
+
     const shutdown_settings& shutdown() const noexcept
     {
         return shutdown_;
@@ -57,12 +62,14 @@
                         a.platform_,
                         a.request_path_,
                         a.services_,
+                        a.fleet_limits_,
                         a.shutdown_,
                         a.logs_) == std::tie(b.vm_,
                                              b.listen_,
                                              b.platform_,
                                              b.request_path_,
                                              b.services_,
+                                             b.fleet_limits_,
                                              b.shutdown_,
                                              b.logs_);
     }
@@ -82,6 +89,7 @@
     platform_settings platform_;
     request_settings request_path_;
     service_settings services_;
+    fleet_limit_settings fleet_limits_;
     shutdown_settings shutdown_;
     log_settings logs_;
 };
--- a/modules/av_settings/settings_builder.cpp
+++ b/modules/av_settings/settings_builder.cpp
@@ -19,7 +19,8 @@
                                        listen.forward_,
                                        listen.peers_,
                                        listen.operators_,
-                                       listen.readiness_})
+                                       listen.readiness_,
+                                       listen.grants_})
     {
         if (!address.empty() && !seen.insert(address).second)
         {
@@ -50,6 +51,18 @@
     return absl::OkStatus();
 }
 
+// Without the address a VM would get no permits, and refuse the calls of all
+// limited accounts.
+absl::Status check_grants(const settings& value, const yaml_location& location)
+{
+    if (value.fleet_limits().is_enabled() && value.listen().grants_.empty())
+    {
+        return location.child("grants", location.line_)
+            .refuse("missing; required with limits in fleet_limits");
+    }
+    return absl::OkStatus();
+}
+
 absl::Status check_shutdown(const settings& value,
                             const yaml_location& location)
 {
@@ -95,6 +108,13 @@
     return *this;
 }
 
+settings_builder&
+settings_builder::fleet_limits(const fleet_limit_settings& section)
+{
+    settings_.fleet_limits_ = section;
+    return *this;
+}
+
 settings_builder& settings_builder::shutdown(const shutdown_settings& section)
 {
     settings_.shutdown_ = section;
@@ -128,6 +148,9 @@
           check_fields(service_settings_fields(),
                        unchecked.services(),
                        location("services")),
+          check_fields(fleet_limit_settings_fields(),
+                       unchecked.fleet_limits(),
+                       location("fleet_limits")),
           check_fields(shutdown_settings_fields(),
                        unchecked.shutdown(),
                        location("shutdown")),
@@ -135,6 +158,7 @@
               log_settings_fields(), unchecked.logs(), location("logs")),
           check_addresses(unchecked, location("listen")),
           check_peers(unchecked, location("listen")),
+          check_grants(unchecked, location("listen")),
           check_shutdown(unchecked, location("shutdown"))})
     {
         if (!status.ok())
--- a/modules/av_settings/settings_builder.hpp
+++ b/modules/av_settings/settings_builder.hpp
@@ -19,6 +19,7 @@
     settings_builder& platform(const platform_settings& section);
     settings_builder& request_path(const request_settings& section);
     settings_builder& services(const service_settings& section);
+    settings_builder& fleet_limits(const fleet_limit_settings& section);
     settings_builder& shutdown(const shutdown_settings& section);
     settings_builder& logs(const log_settings& section);
 
--- a/modules/av_settings/settings_fields.cpp
+++ b/modules/av_settings/settings_fields.cpp
@@ -152,7 +152,12 @@
                    &section::readiness_path_,
                    "path that starts with /",
                    is_request_path,
-                   "path of the readiness check")};
+                   "path of the readiness check"),
+        optional_address_field(
+            "grants",
+            &section::grants_,
+            "for requests of VMs for permits of the limits in fleet_limits; "
+            "required with them, with the same port on all VMs")};
     return fields;
 }
 
@@ -262,6 +267,43 @@
     return fields;
 }
 
+const yaml_fields<fleet_limit_settings>& fleet_limit_settings_fields()
+{
+    using section = fleet_limit_settings;
+    static const yaml_fields<section> fields = {
+        number_field("account_window_s",
+                     &section::account_window_s_,
+                     0.0,
+                     60.0,
+                     "length of the window, in seconds, in which the calls of "
+                     "an account are bounded; 0 if accounts are not limited"),
+        number_field("account_overrun",
+                     &section::account_overrun_,
+                     0.0,
+                     10.0,
+                     "ratio by which an account's calls in a window may exceed "
+                     "its quota"),
+        number_field("account_slack",
+                     &section::account_slack_,
+                     0.0,
+                     10'000.0,
+                     "number of calls by which they may exceed it in addition"),
+        number_field("cold_overrun",
+                     &section::cold_overrun_,
+                     0.0,
+                     10.0,
+                     "calls that a cold target may get in a second, as a "
+                     "multiple of the rate of its service; 0 if cold targets "
+                     "are not limited"),
+        number_field("cold_slack",
+                     &section::cold_slack_,
+                     0.0,
+                     10'000.0,
+                     "number of calls that a cold target may get in a second "
+                     "in addition")};
+    return fields;
+}
+
 const yaml_fields<shutdown_settings>& shutdown_settings_fields()
 {
     using section = shutdown_settings;
--- a/modules/av_settings/settings_fields.hpp
+++ b/modules/av_settings/settings_fields.hpp
@@ -13,6 +13,7 @@
 const yaml_fields<platform_settings>& platform_settings_fields();
 const yaml_fields<request_settings>& request_settings_fields();
 const yaml_fields<service_settings>& service_settings_fields();
+const yaml_fields<fleet_limit_settings>& fleet_limit_settings_fields();
 const yaml_fields<shutdown_settings>& shutdown_settings_fields();
 const yaml_fields<log_settings>& log_settings_fields();
 
--- a/modules/av_settings/settings_reader.cpp
+++ b/modules/av_settings/settings_reader.cpp
@@ -14,8 +14,14 @@
 {
 
 constexpr yaml_limits settings_limits{65'536, 4, 1000};
-constexpr std::array<std::string_view, 7> section_names = {
-    "vm", "listen", "platform", "request_path", "services", "shutdown", "logs"};
+constexpr std::array<std::string_view, 8> section_names = {"vm",
+                                                           "listen",
+                                                           "platform",
+                                                           "request_path",
+                                                           "services",
+                                                           "fleet_limits",
+                                                           "shutdown",
+                                                           "logs"};
 constexpr std::array<std::string_view, 3> required_sections = {
     "vm", "listen", "platform"};
 
@@ -47,7 +53,7 @@
         {
             return location.child(member.key_, member.line_)
                 .refuse("unknown section; allowed: vm, listen, platform, "
-                        "request_path, services, shutdown, logs");
+                        "request_path, services, fleet_limits, shutdown, logs");
         }
     }
     for (const std::string_view name : required_sections)
@@ -92,6 +98,7 @@
     platform_settings platform;
     request_settings request_path;
     service_settings services;
+    fleet_limit_settings fleet_limits;
     shutdown_settings shutdown;
     log_settings logs;
     for (const absl::Status& status :
@@ -107,6 +114,11 @@
                        request_path),
           read_section(
               root, location, "services", service_settings_fields(), services),
+          read_section(root,
+                       location,
+                       "fleet_limits",
+                       fleet_limit_settings_fields(),
+                       fleet_limits),
           read_section(
               root, location, "shutdown", shutdown_settings_fields(), shutdown),
           read_section(root, location, "logs", log_settings_fields(), logs)})
@@ -122,6 +134,7 @@
         .platform(platform)
         .request_path(request_path)
         .services(services)
+        .fleet_limits(fleet_limits)
         .shutdown(shutdown)
         .logs(logs)
         .build(location);
--- a/modules/av_settings/settings_reference.cpp
+++ b/modules/av_settings/settings_reference.cpp
@@ -35,6 +35,7 @@
            rows("platform", platform_settings_fields()) +
            rows("request_path", request_settings_fields()) +
            rows("services", service_settings_fields()) +
+           rows("fleet_limits", fleet_limit_settings_fields()) +
            rows("shutdown", shutdown_settings_fields()) +
            rows("logs", log_settings_fields());
 }
--- a/modules/av_settings/settings_sections.hpp
+++ b/modules/av_settings/settings_sections.hpp
@@ -50,6 +50,8 @@
     // not use the callers' address.
     std::string readiness_;
     std::string readiness_path_ = "/ready";
+    // For requests of VMs for permits of the limits that hold for all VMs.
+    std::string grants_;
 
     // Returns all members, for comparison.
     auto tie() const
@@ -59,7 +61,8 @@
                         peers_,
                         operators_,
                         readiness_,
-                        readiness_path_);
+                        readiness_path_,
+                        grants_);
     }
 };
 
@@ -115,6 +118,40 @@
     }
 };
 
+// The platform's bounds for the limits that hold for all VMs together, see
+// docs/OPERATIONS.md.
+struct fleet_limit_settings
+{
+    // Length of the window in which an account's calls are bounded, in seconds;
+    // zero if accounts are not limited.
+    double account_window_s_ = 0.0;
+    // The calls of a window may exceed what the account is entitled to by this
+    // ratio, and by this number in addition.
+    double account_overrun_ = 0.0;
+    double account_slack_ = 0.0;
+    // The calls that a cold target may get per second, as a multiple of its
+    // service's rate, and in addition to it. A multiple of zero if cold targets
+    // are not limited.
+    double cold_overrun_ = 0.0;
+    double cold_slack_ = 0.0;
+
+    // Returns whether there is any limit.
+    bool is_enabled() const
+    {
+        return account_window_s_ > 0.0 || cold_overrun_ > 0.0;
+    }
+
+    // Returns all members, for comparison.
+    auto tie() const
+    {
+        return std::tie(account_window_s_,
+                        account_overrun_,
+                        account_slack_,
+                        cold_overrun_,
+                        cold_slack_);
+    }
+};
+
 // Limits of the request path. Sizes are in bytes.
 struct request_settings
 {
--- a/modules/av_settings/tests/settings_test.cpp
+++ b/modules/av_settings/tests/settings_test.cpp
@@ -158,6 +158,58 @@
     }
 }
 
+// Without limits nothing may be required or change.
+BOOST_AUTO_TEST_CASE(fleet_limits_are_off_by_default)
+{
+    const auto absent = parse_settings(minimal_settings, "vm.yaml");
+    BOOST_TEST_REQUIRE(absent.ok(), absent.status());
+    BOOST_TEST(!absent->fleet_limits().is_enabled());
+    const auto empty =
+        parse_settings(minimal_settings + "fleet_limits: {\n  }\n", "vm.yaml");
+    BOOST_TEST_REQUIRE(empty.ok(), empty.status());
+    BOOST_TEST((*empty == *absent));
+}
+
+BOOST_AUTO_TEST_CASE(fleet_limits_are_read)
+{
+    const auto result = parse_settings(
+        minimal_with("operators:", "grants: \"127.0.1.1:5\", operators:") +
+            "fleet_limits: {\n  account_window_s: 5,\n"
+            "  account_overrun: 0.1,\n  account_slack: 20,\n"
+            "  cold_overrun: 1.5,\n  cold_slack: 8,\n  }\n",
+        "vm.yaml");
+    BOOST_TEST_REQUIRE(result.ok(), result.status());
+    BOOST_TEST(result->listen().grants_ == "127.0.1.1:5");
+    const auto& limits = result->fleet_limits();
+    BOOST_TEST(limits.is_enabled());
+    BOOST_TEST(limits.account_window_s_ == 5.0);
+    BOOST_TEST(limits.account_overrun_ == 0.1);
+    BOOST_TEST(limits.account_slack_ == 20.0);
+    BOOST_TEST(limits.cold_overrun_ == 1.5);
+    BOOST_TEST(limits.cold_slack_ == 8.0);
+}
+
+// A VM without the address would refuse all calls of limited accounts.
+BOOST_AUTO_TEST_CASE(fleet_limits_need_an_address_for_grants)
+{
+    for (const char* limits : {"{account_window_s: 5}", "{cold_overrun: 1.5}"})
+    {
+        check_rejected(
+            {minimal_settings + "fleet_limits: " + limits + "\n",
+             {"vm.yaml:", "'listen.grants'", "missing", "fleet_limits"}});
+    }
+    for (const auto& rejected : std::vector<rejected_case>{
+             {minimal_settings + "fleet_limits: {account_window_s: -1}\n",
+              {"vm.yaml:4:", "'fleet_limits.account_window_s'", "0 to 60"}},
+             {minimal_settings + "fleet_limits: {cold_overrun: .inf}\n",
+              {"vm.yaml:4:", "'fleet_limits.cold_overrun'"}},
+             {minimal_with("operators:", "grants: \"127.0.1.1:4\", operators:"),
+              {"'listen'", "127.0.1.1:4", "twice"}}})
+    {
+        check_rejected(rejected);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(builder_checks_the_same_ranges)
 {
     request_settings request_path;
