--- a/modules/av_daemon/daemon_options.cpp
+++ b/modules/av_daemon/daemon_options.cpp
@@ -1,5 +1,6 @@
 #include <av_daemon/daemon_options.hpp>
 
+#include <av_daemon/grantors.hpp>
 #include <av_daemon/platform_bounds.hpp>
 #include <av_platform/platform_keys.hpp>
 #include <av_routing/choice_policy.hpp>
@@ -34,6 +35,7 @@
     path.request_timeout_ = section.request_timeout_;
     path.idle_timeout_ = section.idle_timeout_;
     path.connect_timeout_ = section.connect_timeout_;
+    path.limit_bounds_ = limit_bounds_of(value);
     return path;
 }
 
--- a/modules/av_daemon/daemon_state.hpp
+++ b/modules/av_daemon/daemon_state.hpp
@@ -3,6 +3,7 @@
 
 #include <av_control/control_state.hpp>
 #include <av_core/milliseconds.hpp>
+#include <av_daemon/fleet_limit_state.hpp>
 #include <av_feed/registry_control.hpp>
 #include <av_metrics/latency_histogram.hpp>
 #include <av_metrics/latency_summary.hpp>
@@ -36,6 +37,8 @@
     // State of the registry read from the platform's store; not set where VMs
     // distribute releases themselves.
     std::optional<registry_state> registry_;
+    // Not set where the settings have no limits for all VMs together.
+    std::optional<fleet_limit_state> fleet_limits_;
     request_path_statistics requests_;
     // Answered calls of the last completed window.
     latency_summary latency_;
--- a/modules/av_daemon/metrics_page.cpp
+++ b/modules/av_daemon/metrics_page.cpp
@@ -241,6 +241,64 @@
                  registry.calls_.failures_);
 }
 
+void collect_grants(sample_list& list, const grant_server_statistics& server)
+{
+    list.counter("grant_queries_total",
+                 "Messages of VMs that asked this grantor for permits.",
+                 {},
+                 server.queries_);
+    list.counter("grant_permits_total",
+                 "Permits that this grantor gave.",
+                 {},
+                 server.permits_);
+    constexpr auto name = "grant_refusals_total";
+    constexpr auto help = "Requests for permits that this grantor refused.";
+    list.counter(name, help, {{"reason", "limit"}}, server.refused_);
+    list.counter(name, help, {{"reason", "unknown"}}, server.unknown_);
+    list.gauge("grant_connections",
+               "Connections of VMs to this grantor.",
+               {},
+               server.connections_);
+    list.gauge("grant_keys",
+               "Limits of which this grantor's share is in use.",
+               {},
+               server.keys_);
+}
+
+void collect_fleet_limits(sample_list& list, const daemon_state& state)
+{
+    if (!state.fleet_limits_)
+    {
+        return;
+    }
+    const auto& limits = *state.fleet_limits_;
+    constexpr auto name = "permits_total";
+    constexpr auto help = "Permits for calls of this VM, by result.";
+    list.counter(name, help, {{"result", "granted"}}, limits.granted_);
+    list.counter(name, help, {{"result", "over_limit"}}, limits.over_limit_);
+    list.counter(name, help, {{"result", "unavailable"}}, limits.unavailable_);
+    list.counter("permit_queries_total",
+                 "Messages by which this VM asked for permits.",
+                 {},
+                 limits.queries_);
+    list.counter("permit_queries_failed_total",
+                 "Messages that a grantor did not respond to in time.",
+                 {},
+                 limits.failed_queries_);
+    list.gauge("grantors_unreachable",
+               "Grantors that can't be reached, for each request thread.",
+               {},
+               limits.unreachable_grantors_);
+    list.gauge("permit_keys",
+               "Limits that this VM has state for, for each request thread.",
+               {},
+               limits.keys_);
+    if (limits.server_)
+    {
+        collect_grants(list, *limits.server_);
+    }
+}
+
 void collect_process(sample_list& list, const daemon_state& state)
 {
     constexpr auto name = "cpu_seconds_total";
@@ -280,6 +338,7 @@
     collect_targets(list, state.requests_);
     collect_control(list, state.control_);
     collect_registry(list, state);
+    collect_fleet_limits(list, state);
     collect_process(list, state);
     return list.take();
 }
--- a/modules/av_daemon/state_dump.cpp
+++ b/modules/av_daemon/state_dump.cpp
@@ -177,6 +177,37 @@
     out << YAML::EndMap;
 }
 
+void emit_fleet_limits(YAML::Emitter& out, const daemon_state& state)
+{
+    if (!state.fleet_limits_)
+    {
+        return;
+    }
+    const auto& limits = *state.fleet_limits_;
+    begin_map(out, "fleet_limits");
+    put(out, "grantors", limits.grantors_);
+    put(out, "granted", limits.granted_);
+    put(out, "over_limit", limits.over_limit_);
+    put(out, "unavailable", limits.unavailable_);
+    put(out, "queries", limits.queries_);
+    put(out, "failed_queries", limits.failed_queries_);
+    put(out, "grantors_unreachable", limits.unreachable_grantors_);
+    put(out, "keys", limits.keys_);
+    if (limits.server_)
+    {
+        const auto& server = *limits.server_;
+        begin_map(out, "as_grantor");
+        put(out, "queries", server.queries_);
+        put(out, "permits", server.permits_);
+        put(out, "refused", server.refused_);
+        put(out, "unknown", server.unknown_);
+        put(out, "connections", server.connections_);
+        put(out, "keys", server.keys_);
+        out << YAML::EndMap;
+    }
+    out << YAML::EndMap;
+}
+
 void emit_calls(YAML::Emitter& out, const daemon_state& state)
 {
     const auto& requests = state.requests_;
@@ -290,6 +321,7 @@
             emit_members(out, state);
             emit_control(out, state.control_);
             emit_registry(out, state);
+            emit_fleet_limits(out, state);
         });
 }
 
--- a/modules/av_daemon/tests/state_dump_test.cpp
+++ b/modules/av_daemon/tests/state_dump_test.cpp
@@ -89,6 +89,8 @@
     auto state = make_state();
     state.requests_.targets_.resize(3);
     state.requests_.services_.resize(2);
+    state.fleet_limits_.emplace();
+    state.fleet_limits_->server_.emplace();
     std::vector<std::string> names;
     for (const auto& sample : collect_metrics(state))
     {
@@ -101,4 +103,33 @@
     BOOST_TEST((std::adjacent_find(names.begin(), names.end()) == names.end()));
 }
 
+// Deployments without limits for all VMs together must not see them.
+BOOST_AUTO_TEST_CASE(fleet_limits_are_shown_where_there_are_some)
+{
+    const auto has_sample = [](const daemon_state& state, const char* name)
+    {
+        const auto samples = collect_metrics(state);
+        return std::any_of(samples.begin(),
+                           samples.end(),
+                           [name](const metric_sample& sample)
+                           {
+                               return sample.name_ == name;
+                           });
+    };
+    auto state = make_state();
+    BOOST_TEST(!contains(render_dump(state), "fleet_limits"));
+    BOOST_TEST(!has_sample(state, "anvilturn_permits_total"));
+    state.fleet_limits_.emplace();
+    state.fleet_limits_->grantors_ = {"127.0.36.1:5"};
+    state.fleet_limits_->over_limit_ = 17;
+    BOOST_TEST(contains(render_dump(state), "- 127.0.36.1:5"));
+    BOOST_TEST(contains(render_dump(state), "over_limit: 17"));
+    BOOST_TEST(!contains(render_dump(state), "as_grantor"));
+    BOOST_TEST(has_sample(state, "anvilturn_permits_total"));
+    BOOST_TEST(!has_sample(state, "anvilturn_grant_permits_total"));
+    state.fleet_limits_->server_.emplace();
+    BOOST_TEST(contains(render_dump(state), "as_grantor"));
+    BOOST_TEST(has_sample(state, "anvilturn_grant_permits_total"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/av_proxy/av_proxy.hpp
+++ b/modules/av_proxy/av_proxy.hpp
@@ -2,8 +2,8 @@
 // a target for each, and relays request and response. Each call ends with one
 // of three outcomes: answered, not-run or unknown. Runs on several threads,
 // without locks or blocking.
-// Depends on: av_core, av_model, av_call, av_http, av_limits, av_metrics,
-// av_net, av_routing, Boost.Asio and Beast (in .cpp files and private headers
+// Depends on: av_core, av_model, av_call, av_grants, av_http, av_limits,
+// av_metrics, av_net, av_quota, av_routing, Boost.Asio and Beast (in .cpp files and private headers
 // only).
 
 #ifndef AV_PROXY_AV_PROXY_HPP
--- a/modules/av_proxy/request_path_settings.hpp
+++ b/modules/av_proxy/request_path_settings.hpp
@@ -3,8 +3,10 @@
 
 #include <av_core/comparison.hpp>
 #include <av_core/milliseconds.hpp>
+#include <av_grants/permit_client.hpp>
 #include <av_http/header_dialect.hpp>
 #include <av_http/http_limits.hpp>
+#include <av_quota/fleet_limit.hpp>
 
 #include <cstddef>
 #include <string>
@@ -49,6 +51,11 @@
     // A connection without a call is closed after this time.
     milliseconds idle_timeout_{60000.0};
     milliseconds connect_timeout_{1000.0};
+    // Bounds of the limits that hold for all VMs together.
+    limit_bounds limit_bounds_;
+    // For the permit client of each thread; no grantors if there are no such
+    // limits. Not part of the comparison.
+    permit_client_options permits_;
 
     // Returns all members, for comparison.
     auto tie() const
@@ -66,7 +73,8 @@
                         relay_memory_bytes_,
                         request_timeout_,
                         idle_timeout_,
-                        connect_timeout_);
+                        connect_timeout_,
+                        limit_bounds_);
     }
 };
 
