--- a/modules/av_grants/grant_server.cpp
+++ b/modules/av_grants/grant_server.cpp
@@ -38,6 +38,13 @@
 constexpr int send_buffer_bytes = 64 * 1024;
 constexpr milliseconds sweep_interval{1000.0};
 
+// Returns the time, or the longest one that a reply may have: a client refuses
+// replies with longer ones, which low rates and many refused calls lead to.
+milliseconds within_message(milliseconds time)
+{
+    return time < max_grant_time ? time : max_grant_time;
+}
+
 } // namespace
 
 class grant_server::implementation
@@ -292,6 +299,8 @@
         entry.known_ = true;
         entry.grant_ = take_permits(
             ledger_, share_of(*limit, options_.grantor_count_), request, now);
+        entry.grant_.retry_after_ = within_message(entry.grant_.retry_after_);
+        entry.grant_.lease_ = within_message(entry.grant_.lease_);
         if (entry.grant_.permits_ > 0)
         {
             statistics_.permits_ +=
--- a/modules/av_grants/tests/grant_server_test.cpp
+++ b/modules/av_grants/tests/grant_server_test.cpp
@@ -99,6 +99,18 @@
     BOOST_TEST(servers_[0]->statistics().queries_ < 20'000U);
 }
 
+// The time until a permit of a very low limit is longer than a reply may have;
+// the reply must be valid all the same.
+BOOST_AUTO_TEST_CASE(a_server_replies_for_a_very_low_limit)
+{
+    auto limit = tiny_limit();
+    limit.rate_per_second_ = 1e-9;
+    start_client({add_server(always(limit))});
+    const auto answer = acquire();
+    BOOST_TEST((answer.result_ == permit_result::over_limit));
+    BOOST_TEST((answer.retry_after_ <= max_grant_time));
+}
+
 BOOST_AUTO_TEST_CASE(a_server_refuses_an_address_that_is_in_use)
 {
     const auto address = add_server(always(ample_limit()));
--- a/modules/av_grants/tests/grants_fixture.hpp
+++ b/modules/av_grants/tests/grants_fixture.hpp
@@ -46,7 +46,7 @@
 // Grants no permit while a test runs.
 inline fleet_limit tiny_limit()
 {
-    return {0.001, 1.0, milliseconds(5000.0), 1.0, milliseconds(500.0)};
+    return {0.001, 1.0, milliseconds(5000.0), 2.0, milliseconds(500.0)};
 }
 
 using limit_function =
--- a/modules/av_net/av_net.hpp
+++ b/modules/av_net/av_net.hpp
@@ -1,9 +1,10 @@
 // Purpose: networking code shared by the event loops, by the HTTP clients and
 // servers of the control plane and of the operators' interface, and by the
-// framed messages between VMs. Its headers
-// include Asio or Beast, which are slow to compile: include them in source
-// files only. Depends on: av_core, av_yaml (address syntax), Boost.Asio, Beast,
-// Cap'n Proto, zlib.
+// framed messages between VMs. Its headers include Asio, Beast or Cap'n Proto,
+// which are slow to compile: include them in source files only, except for
+// message_frame.hpp.
+// Depends on: av_core, av_yaml (address syntax), Boost.Asio, Beast, Cap'n Proto,
+// zlib.
 
 #ifndef AV_NET_AV_NET_HPP
 #define AV_NET_AV_NET_HPP
