--- a/modules/av_proxy/tests/routing_table_test.cpp
+++ b/modules/av_proxy/tests/routing_table_test.cpp
@@ -225,6 +225,45 @@
 // Each change of a target builds a table on every VM. Its cost must not grow
 // with the rules, of which a release may have thousands: the table takes them
 // from the matcher and needs none of the release's.
+// Guards against calls that overload a cold target: the information that
+// arrived last counts, but an entry that is still on its way when the target
+// becomes cold again doesn't make it warm.
+BOOST_AUTO_TEST_CASE(coldness_follows_entries_and_health_responses)
+{
+    auto value = make_release("10.0.0.1:80");
+    auto& spec = value.targets_["kits-1"];
+    spec.cold_for_ = milliseconds(3000.0);
+    const auto without_rate = build_table(value, nullptr);
+    auto& ignored =
+        *without_rate->find_service("kits")->targets_.front().state_;
+    BOOST_TEST(!is_cold(ignored, milliseconds(2.0)));
+
+    value.services_["kits"].cold_rate_per_second_ = 4.5;
+    const auto first = build_table(value, nullptr);
+    auto& state = *first->find_service("kits")->targets_.front().state_;
+    BOOST_TEST(is_cold(state, milliseconds(3000.0)));
+    BOOST_TEST(!is_cold(state, milliseconds(3001.0)));
+    // The same entry in a new table says nothing new.
+    state.cold_until_ms_.store(-1.0);
+    const auto second = build_table(value, first.get());
+    BOOST_TEST(!is_cold(state, milliseconds(2.0)));
+    spec.cold_for_ = milliseconds(1000.0);
+    const auto third = build_table(value, second.get());
+    BOOST_TEST(is_cold(state, milliseconds(1000.0)));
+
+    const auto from_health = coldness_source::health_response;
+    const auto from_entry = coldness_source::store_entry;
+    const milliseconds none(0.0);
+    record_coldness(state, none, from_health, milliseconds(900.0));
+    BOOST_TEST(!is_cold(state, milliseconds(900.0)));
+    const milliseconds long_time(3000.0);
+    record_coldness(state, long_time, from_health, milliseconds(2100.0));
+    record_coldness(state, none, from_entry, milliseconds(2200.0));
+    BOOST_TEST(is_cold(state, milliseconds(2200.0)));
+    record_coldness(state, none, from_entry, milliseconds(4700.0));
+    BOOST_TEST(!is_cold(state, milliseconds(4700.0)));
+}
+
 BOOST_AUTO_TEST_CASE(a_table_needs_no_rules_but_the_shared_matcher)
 {
     auto value = make_release("127.0.0.1:1");
--- a/modules/av_quota/tests/permit_sum_test.cpp
+++ b/modules/av_quota/tests/permit_sum_test.cpp
@@ -33,6 +33,8 @@
     double restarts_ = 0.0;
     double partitions_ = 0.0;
     double max_delay_ms_ = 1.0;
+    // Share of the messages that take up to that long.
+    double slow_messages_ = 0.0;
     // Probability that a grantor has just started.
     double empty_starts_ = 0.0;
 };
@@ -55,8 +57,17 @@
     std::vector<double> version_from_ms_;
 };
 
-// Many VMs that use every permit they can get, some at once and some only just
-// before it expires, with faults of all kinds.
+// What all VMs do at a time. Buckets fill up, then the permits of a whole lease
+// are kept and used together, and from then on those of a window are used at
+// once: that is the most that any window can have.
+enum class fleet_phase
+{
+    idle,
+    hoarding,
+    eager
+};
+
+// Many VMs that use every permit they can get, with faults of all kinds.
 class hostile_fleet
 {
 public:
@@ -73,7 +84,7 @@
         for (auto& vm : vms_)
         {
             vm.clock_offset_ms_ = uniform(0.0, 1e6);
-            vm.hoards_ = chance(0.5);
+            vm.hoards_ = chance(0.1);
         }
         for (auto& grantor : grantors_)
         {
@@ -91,6 +102,7 @@
 
     void run()
     {
+        next_phase();
         for (std::size_t i = 0; i < vms_.size(); ++i)
         {
             schedule_vm(i);
@@ -152,6 +164,31 @@
         return clock_.now() + milliseconds(vm.clock_offset_ms_);
     }
 
+    void next_phase()
+    {
+        const auto& limit = versions_.front().limit_;
+        double length_ms = limit.window_.count();
+        if (phase_ == fleet_phase::eager)
+        {
+            phase_ = fleet_phase::idle;
+            length_ms = uniform(0.0, 4000.0);
+        }
+        else if (phase_ == fleet_phase::idle)
+        {
+            phase_ = fleet_phase::hoarding;
+            length_ms = limit.max_lease_.count() * uniform(0.5, 2.0);
+        }
+        else
+        {
+            phase_ = fleet_phase::eager;
+        }
+        clock_.run_at(clock_.now() + milliseconds(length_ms),
+                      [this]
+                      {
+                          next_phase();
+                      });
+    }
+
     void schedule_vm(std::size_t index)
     {
         clock_.run_at(clock_.now() + milliseconds(uniform(1.0, 20.0)),
@@ -171,8 +208,13 @@
             return;
         }
         const auto now = local_time(vm);
+        if (phase_ == fleet_phase::idle)
+        {
+            return;
+        }
         const bool waits =
-            vm.hoards_ && !vm.stock_.batches_.empty() &&
+            (vm.hoards_ || phase_ == fleet_phase::hoarding) &&
+            !vm.stock_.batches_.empty() &&
             vm.stock_.batches_.front().expires_at_ - now > milliseconds(25.0);
         while (!waits && take_permit(vm.stock_, now))
         {
@@ -271,11 +313,14 @@
                chance(faults_.loss_);
     }
 
-    // Most messages are fast, so that others overtake the slow ones.
+    // Fast messages overtake slow ones. Most are slow while permits are
+    // hoarded, which shows whether a late permit is valid for longer.
     milliseconds delay()
     {
+        const bool hoards = phase_ == fleet_phase::hoarding;
+        const double slow = faults_.slow_messages_ * (hoards ? 1.0 : 0.1);
         return milliseconds(
-            uniform(0.1, chance(0.8) ? 1.0 : faults_.max_delay_ms_));
+            uniform(0.1, chance(slow) ? faults_.max_delay_ms_ : 1.0));
     }
 
     void disturb()
@@ -314,6 +359,7 @@
     fault_rates faults_;
     std::mt19937_64 random_;
     scripted_clock clock_;
+    fleet_phase phase_ = fleet_phase::idle;
     std::vector<simulated_vm> vms_;
     std::vector<simulated_grantor> grantors_;
     std::vector<double> used_at_ms_;
@@ -332,6 +378,7 @@
     faults.restarts_ = generate(0, 10, 0.05);
     faults.partitions_ = generate(0, 10, 0.05);
     faults.max_delay_ms_ = generate(1, 800, 1.0);
+    faults.slow_messages_ = generate(0, 10, 0.1);
     faults.empty_starts_ = 0.3;
     return faults;
 }
--- a/modules/av_routing/tests/ask_first_test.cpp
+++ b/modules/av_routing/tests/ask_first_test.cpp
@@ -254,6 +254,83 @@
     BOOST_TEST(connected < all);
 }
 
+// Guards against cold targets that get more than their rate, and against calls
+// that leave the failure domain although a cold target has a permit.
+BOOST_AUTO_TEST_CASE(cold_targets_need_a_permit_and_come_after_warm_ones)
+{
+    std::vector<target_view> targets{freshly_reported(5),
+                                     freshly_reported(0),
+                                     freshly_reported(0, 1.0, false),
+                                     freshly_reported(0, 1.0, false)};
+    targets[1].cold_ = true;
+    targets[3].cold_ = true;
+    targets[1].has_permit_ = true;
+    targets[3].has_permit_ = true;
+    // A warm local target with room is first, however busy.
+    BOOST_TEST(*choose(call_for(targets)) == 0U);
+    targets[0].reported_load_ = 6;
+    BOOST_TEST(*choose(call_for(targets)) == 1U);
+    targets[1].has_permit_ = false;
+    BOOST_TEST(*choose(call_for(targets, load_query_wait_limit)) == 2U);
+    targets[2].reported_load_ = 6;
+    BOOST_TEST(*choose(call_for(targets, load_query_wait_limit)) == 3U);
+    targets[3].has_permit_ = false;
+    BOOST_TEST(!choose(call_for(targets, load_query_wait_limit)).has_value());
+}
+
+// Guards against permits that are taken for calls that a warm target can run.
+BOOST_AUTO_TEST_CASE(permits_are_requested_only_without_a_warm_local_target)
+{
+    const auto requested = [](const choice_input& input)
+    {
+        return policy().choose_cold_target_(input);
+    };
+    std::vector<target_view> targets{freshly_reported(5),
+                                     freshly_reported(0),
+                                     freshly_reported(6, 1.0, false),
+                                     freshly_reported(0, 1.0, false)};
+    targets[1].cold_ = true;
+    targets[3].cold_ = true;
+    BOOST_TEST(!requested(call_for(targets)).has_value());
+    targets[0].reported_load_ = 6;
+    BOOST_TEST(*requested(call_for(targets)) == 1U);
+    targets[1].has_permit_ = true;
+    BOOST_TEST(!requested(call_for(targets)).has_value());
+    targets[1].has_permit_ = false;
+    targets[1].reported_load_ = 6;
+    BOOST_TEST(!requested(call_for(targets)).has_value());
+    BOOST_TEST(*requested(call_for(targets, load_query_wait_limit)) == 3U);
+    targets[2].reported_load_ = 0;
+    BOOST_TEST(
+        !requested(call_for(targets, load_query_wait_limit)).has_value());
+}
+
+// Guards against calls that wait until all cold targets of a failure domain
+// that has returned at once were queried.
+BOOST_AUTO_TEST_CASE(other_domains_are_queried_beside_a_cold_local_target)
+{
+    std::vector<target_view> targets(10, not_reported());
+    for (auto& target : targets)
+    {
+        target.cold_ = true;
+    }
+    targets.resize(20, not_reported(false));
+    const auto queried = policy().select_load_queries_(call_for(targets));
+    BOOST_TEST_REQUIRE(queried.size() == 3U);
+    BOOST_TEST(targets[queried[0]].cold_);
+    BOOST_TEST(!targets[queried[1]].same_domain_);
+    BOOST_TEST(!targets[queried[2]].same_domain_);
+    // Warm local targets are queried before cold ones.
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        targets[i].cold_ = false;
+    }
+    for (const auto index : policy().select_load_queries_(call_for(targets)))
+    {
+        BOOST_TEST(index < 3U);
+    }
+}
+
 RC_BOOST_PROP(shares_match_weights_for_small_counts, ())
 {
     const auto count = *rc::gen::inRange(2, 6);
