--- a/modules/av_quota/limit_key.hpp
+++ b/modules/av_quota/limit_key.hpp
@@ -48,8 +48,9 @@
         return a.tie() < b.tie();
     }
 
-    // For hash tables of Abseil.
+    // For hash tables of Abseil, which prescribes the name.
     template <typename Hash>
+    // NOLINTNEXTLINE(readability-identifier-naming)
     friend Hash AbslHashValue(Hash state, const limit_key& key)
     {
         return Hash::combine(std::move(state), key.kind_, key.name_);
