Let a watcher that the store turns away follow another watcher

It now subscribes to another watcher that reaches the store, while it goes on checking the store itself. To its own subscribers it reports only its own contact with the store, so that they leave it as before and watchers don't follow each other in a circle.

--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -4,6 +4,7 @@
 #include <av_core/monotonic_clock.hpp>
 #include <av_feed/store_replica.hpp>
 #include <av_feed/store_session.hpp>
+#include <av_feed/watcher_fallback.hpp>
 #include <av_net/duration.hpp>
 #include <av_registry/watcher_choice.hpp>
 #include <av_replication/registry_publisher.hpp>
@@ -54,6 +55,16 @@
 constexpr milliseconds watcher_search_interval{500.0};
 constexpr milliseconds watcher_search_interval_at_startup{50.0};
 
+// Returns the watchers besides this VM.
+std::vector<std::string> other_watchers(const registry_options& options)
+{
+    auto others = options.watchers_;
+    others.erase(
+        std::remove(others.begin(), others.end(), options.peer_address_),
+        others.end());
+    return others;
+}
+
 enum class subscription_end_cause
 {
     // The watcher is unreachable or sent outdated or malformed data.
@@ -86,7 +97,11 @@
                   is_watcher_,
                   [this]
                   {
-                      return monotonic_now() - answered_at();
+                      // A watcher reports for itself only, so that watchers
+                      // never follow each other in a circle.
+                      return monotonic_now() - (is_watcher_
+                                                    ? store_.answered_at()
+                                                    : answered_at());
                   })
         , replica_(context,
                    server_,
@@ -97,6 +112,19 @@
                  observer(),
                  is_watcher_ ? watcher_call_intervals
                              : subscriber_call_intervals)
+        , fallback_(
+              context,
+              options_.service_defaults_,
+              is_watcher_ ? other_watchers(options_)
+                          : std::vector<std::string>(),
+              [this]
+              {
+                  return monotonic_now() - store_.answered_at();
+              },
+              [this](const registry_update& update)
+              {
+                  return apply_fallback_update(update);
+              })
     {
         if (is_watcher_)
         {
@@ -117,6 +145,7 @@
         if (is_watcher_)
         {
             store_.start();
+            fallback_.start();
             return absl::OkStatus();
         }
         schedule_store_fallback(store_fallback_delay_at_startup);
@@ -132,10 +161,8 @@
         replica_.describe(result);
         result.subscribers_ = server_.subscribers();
         result.calls_ = store_.counts();
-        if (receives_updates())
-        {
-            result.watcher_ = watchers_[*watcher_].address_;
-        }
+        result.watcher_ = receives_updates() ? watchers_[*watcher_].address_
+                                             : fallback_.watcher();
         return result;
     }
 
@@ -171,6 +198,7 @@
         };
         result.on_answer_ = [this]
         {
+            fallback_.record_answer();
             replica_.record_answer(monotonic_now());
         };
         return result;
@@ -405,6 +433,16 @@
         position_.release_version_ = replica_.version();
     }
 
+    bool apply_fallback_update(const registry_update& update)
+    {
+        if (update.store_revision_ < replica_.revision())
+        {
+            return false;
+        }
+        apply(update, monotonic_now());
+        return true;
+    }
+
     void handle_subscription_end(const std::string& reason)
     {
         const auto now = monotonic_now();
@@ -495,6 +533,7 @@
     store_replica replica_;
     store_session store_;
     std::unique_ptr<registry_subscriber> client_;
+    watcher_fallback fallback_;
 };
 
 registry_control::registry_control(asio::io_context& context,
--- a/modules/av_feed/tests/registry_control_test.cpp
+++ b/modules/av_feed/tests/registry_control_test.cpp
@@ -100,6 +100,7 @@
     {
         standbys_ = update.standbys_.value_or(standbys_);
         version_ = update.release_ ? update.release_->version_ : version_;
+        store_response_age_ = update.store_response_age_;
         ++updates_;
         if (update.is_snapshot_)
         {
@@ -120,6 +121,7 @@
     std::set<std::string> targets_;
     release_version version_ = 0;
     int updates_ = 0;
+    milliseconds store_response_age_;
     registry_subscriber client_;
 };
 
@@ -129,7 +131,8 @@
     // By default the heartbeat interval is so long that no outage lets entries
     // expire.
     explicit subscribed_vm(milliseconds heartbeat_interval = no_expiry,
-                           const std::string& peer_address = "")
+                           const std::string& peer_address = "",
+                           bool is_watcher = false)
         : store_(context_)
         , local_watcher_(context_, "127.0.30.8:0", "a")
         , remote_watcher_(context_, "127.0.30.9:0", "b")
@@ -145,6 +148,10 @@
         options.peer_address_ = peer_address;
         options.watchers_ = {local_watcher_.server_.address(),
                              remote_watcher_.server_.address()};
+        if (is_watcher)
+        {
+            options.watchers_.front() = peer_address;
+        }
         registry_handlers handlers;
         handlers.on_release_ = [](const auto&) {};
         handlers.on_targets_ = [this](const auto& targets)
@@ -397,6 +404,53 @@
     BOOST_TEST(vm.control_->state().version_ == 4U);
 }
 
+// A watcher that kept its old release would accept revoked keys for as long as
+// the store turns it away.
+BOOST_AUTO_TEST_CASE(a_watcher_that_the_store_turns_away_uses_another_one)
+{
+    subscribed_vm vm(no_expiry, "127.0.30.13:28713", true);
+    vm.run_until_the_store_is_watched();
+    BOOST_TEST(vm.control_->state().watcher_.empty());
+    vm.store_.down_ = true;
+    vm.remote_watcher_.publish(4, {"x"}, 1000);
+    vm.run_until_subscribed_to(vm.remote_watcher_);
+    BOOST_TEST(vm.control_->state().version_ == 4U);
+    vm.remote_watcher_.publish(5, {"x"}, 1001);
+    vm.run_until(
+        [&]
+        {
+            return vm.control_->state().version_ == 5U;
+        });
+    // Its own subscribers must not take it for a source.
+    plain_subscriber other(vm.context_, "127.0.30.13:28713");
+    other.subscribe("");
+    vm.run_until(
+        [&]
+        {
+            return other.updates_ > 0;
+        });
+    BOOST_TEST(other.store_response_age_.count() > 500.0);
+    vm.store_.down_ = false;
+    vm.run_until(
+        [&]
+        {
+            return vm.control_->state().watcher_.empty();
+        });
+}
+
+BOOST_AUTO_TEST_CASE(watchers_do_not_follow_one_that_does_not_reach_the_store)
+{
+    subscribed_vm vm(no_expiry, "127.0.30.13:28714", true);
+    vm.run_until_the_store_is_watched();
+    vm.remote_watcher_.store_response_age_ = stale_response_age;
+    vm.remote_watcher_.publish(4, {"x"}, 1000);
+    vm.store_.down_ = true;
+    const int checks = vm.store_.checks_;
+    vm.run_until_checked(checks + 6);
+    BOOST_TEST(vm.control_->state().version_ == 3U);
+    BOOST_TEST(vm.control_->state().watcher_.empty());
+}
+
 // Changes from a watcher that does not reach the store are ignored, so later
 // ones can't be applied without a snapshot.
 BOOST_AUTO_TEST_CASE(a_snapshot_replaces_updates_ignored_during_an_outage)
