--- a/modules/av_net/av_net.hpp
+++ b/modules/av_net/av_net.hpp
@@ -3,8 +3,8 @@
 // framed messages between VMs. Its headers include Asio, Beast or Cap'n Proto,
 // which are slow to compile: include them in source files only, except for
 // message_frame.hpp.
-// Depends on: av_core, av_yaml (address syntax), Boost.Asio, Beast, Cap'n Proto,
-// zlib.
+// Depends on: av_core, av_yaml (address syntax), Boost.Asio, Beast, Cap'n
+// Proto, zlib.
 
 #ifndef AV_NET_AV_NET_HPP
 #define AV_NET_AV_NET_HPP
--- a/modules/av_proxy/av_proxy.hpp
+++ b/modules/av_proxy/av_proxy.hpp
@@ -3,8 +3,8 @@
 // of three outcomes: answered, not-run or unknown. Runs on several threads,
 // without locks or blocking.
 // Depends on: av_core, av_model, av_call, av_grants, av_http, av_limits,
-// av_metrics, av_net, av_quota, av_routing, Boost.Asio and Beast (in .cpp files and private headers
-// only).
+// av_metrics, av_net, av_quota, av_routing, Boost.Asio and Beast (in .cpp files
+// and private headers only).
 
 #ifndef AV_PROXY_AV_PROXY_HPP
 #define AV_PROXY_AV_PROXY_HPP
