Exclude targets of evacuated failure domains and outside allowed regions

Where platform.evacuations is set, the store's evacuations are listed, watched and checked like targets and releases, and watchers name them to their subscribers. A VM holds targets back until it knows them. Rules can be restricted to regions, which vm.regions gives for each failure domain. Calls without a permitted target are refused before they are queued.

--- a/modules/av_daemon/daemon.cpp
+++ b/modules/av_daemon/daemon.cpp
@@ -40,6 +40,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -252,6 +253,10 @@
             has_targets_ = true;
             update_readiness();
         };
+        handlers.on_evacuations_ = [this](const std::set<std::string>& domains)
+        {
+            request_path_->publish_evacuations(domains);
+        };
         const auto store = store_options_of(settings_);
         registry_options options;
         options.failure_domain_ = settings_.vm().failure_domain_;
@@ -269,7 +274,7 @@
     }
 
     // Reports the VM as ready once it has a release and, if targets come from
-    // the store, the targets too.
+    // the store, the targets too; these are not known before the evacuations.
     void update_readiness()
     {
         const bool ready =
--- a/modules/av_daemon/daemon_options.cpp
+++ b/modules/av_daemon/daemon_options.cpp
@@ -34,6 +34,7 @@
     path.request_timeout_ = section.request_timeout_;
     path.idle_timeout_ = section.idle_timeout_;
     path.connect_timeout_ = section.connect_timeout_;
+    path.regions_ = value.vm().regions_;
     return path;
 }
 
@@ -88,6 +89,7 @@
     store_options options;
     options.address_ = value.platform().address_;
     options.call_timeout_ = value.platform().call_timeout_;
+    options.evacuations_ = value.platform().evacuations_;
     auto& defaults = options.service_defaults_;
     defaults.choice_policy_ = section.choice_policy_;
     defaults.retry_ratio_ = section.retry_ratio_;
--- a/modules/av_daemon/metrics_page.cpp
+++ b/modules/av_daemon/metrics_page.cpp
@@ -216,6 +216,14 @@
                "Targets that are registered, draining ones included.",
                {},
                registry.targets_);
+    if (registry.evacuated_domains_)
+    {
+        list.gauge("failure_domains_evacuated",
+                   "Failure domains whose targets get no new work, by entries "
+                   "of the store.",
+                   {},
+                   registry.evacuated_domains_->size());
+    }
     list.gauge("watcher_in_use",
                "1 if a watcher tells this VM what the store holds.",
                {},
--- a/modules/av_daemon/state_dump.cpp
+++ b/modules/av_daemon/state_dump.cpp
@@ -174,6 +174,15 @@
     put(out, "store_watches", registry.calls_.watches_);
     put(out, "store_checks", registry.calls_.checks_);
     put(out, "store_failures", registry.calls_.failures_);
+    if (registry.evacuated_domains_)
+    {
+        begin_list(out, "evacuated_failure_domains");
+        for (const auto& domain : *registry.evacuated_domains_)
+        {
+            out << domain;
+        }
+        out << YAML::EndSeq;
+    }
     out << YAML::EndMap;
 }
 
--- a/modules/av_feed/collection_feed.hpp
+++ b/modules/av_feed/collection_feed.hpp
@@ -38,12 +38,14 @@
 class collection_feed
 {
 public:
-    // The name appears in log lines.
+    // The name appears in log lines. For max_silent_checks see check().
     collection_feed(boost::asio::io_context& context,
                     std::string name,
                     collection_source<Value> source,
-                    collection_observer<Value> observer)
+                    collection_observer<Value> observer,
+                    int max_silent_checks = 2)
         : name_(std::move(name))
+        , max_silent_checks_(max_silent_checks)
         , source_(std::move(source))
         , observer_(std::move(observer))
         , timer_(context)
@@ -69,12 +71,12 @@
         relisting_timer_.cancel();
         listed_ = false;
         watching_ = false;
-        watch_suspected_ = false;
+        silent_checks_ = 0;
     }
 
     // Checks whether the store has changes that the watch has not reported. If
-    // two checks in a row find some, the watch is replaced: its connection may
-    // be dead while others work.
+    // max_silent_checks in a row find some, the watch is replaced: its
+    // connection may be dead while others work.
     void check(milliseconds timeout,
                std::function<void(const absl::Status& status)> done)
     {
@@ -206,10 +208,10 @@
     {
         if (!has_changes || !watching_ || since != revision_)
         {
-            watch_suspected_ = false;
+            silent_checks_ = 0;
             return;
         }
-        if (!std::exchange(watch_suspected_, true))
+        if (++silent_checks_ < max_silent_checks_)
         {
             return;
         }
@@ -217,7 +219,7 @@
             .field("collection", name_)
             .field("revision", revision_)
             .write();
-        watch_suspected_ = false;
+        silent_checks_ = 0;
         ++generation_;
         watch();
     }
@@ -240,7 +242,7 @@
     void apply_changes(typename collection_source<Value>::changes changes)
     {
         watching_ = false;
-        watch_suspected_ = false;
+        silent_checks_ = 0;
         if (kind_of(changes.status()) == error_kind::platform_history_gone)
         {
             log_event(log_level::info, "store_history_gone")
@@ -323,6 +325,7 @@
     }
 
     const std::string name_;
+    const int max_silent_checks_;
     collection_source<Value> source_;
     collection_observer<Value> observer_;
     boost::asio::steady_timer timer_;
@@ -332,10 +335,10 @@
     // Results of calls from an earlier generation are ignored.
     int generation_ = 0;
     bool listed_ = false;
-    // Whether a watch is pending, and whether the last check found changes that
-    // it has not reported.
+    // Whether a watch is pending, and how many of the last checks in a row found
+    // changes that it has not reported.
     bool watching_ = false;
-    bool watch_suspected_ = false;
+    int silent_checks_ = 0;
 };
 
 } // namespace anvilturn
--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -2,6 +2,7 @@
 
 #include <av_core/log_event.hpp>
 #include <av_core/monotonic_clock.hpp>
+#include <av_feed/replica_observer.hpp>
 #include <av_feed/store_replica.hpp>
 #include <av_feed/store_session.hpp>
 #include <av_net/duration.hpp>
@@ -75,6 +76,7 @@
         : context_(context)
         , options_(std::move(options))
         , release_name_(calls.release_name_)
+        , follows_evacuations_(calls.evacuations_.list_ != nullptr)
         , watchers_(
               make_watcher_records(options_.watchers_, options_.peer_address_))
         , is_watcher_(watchers_.empty())
@@ -98,6 +100,11 @@
                  is_watcher_ ? watcher_call_intervals
                              : subscriber_call_intervals)
     {
+        if (follows_evacuations_)
+        {
+            server_.require_evacuations();
+            replica_.follow_evacuations();
+        }
         if (is_watcher_)
         {
             replica_.start_publishing();
@@ -142,36 +149,16 @@
 private:
     store_observer observer()
     {
-        store_observer result;
-        result.on_releases_ =
-            [this](const std::vector<listed_object<release>>& objects)
-        {
-            for (const auto& object : objects)
-            {
-                if (object.name_ == release_name_ && object.value_)
-                {
-                    replica_.apply_release(
-                        std::make_shared<const release>(*object.value_));
-                }
-            }
-        };
+        auto result = replica_observer(replica_, store_, release_name_);
         result.on_target_listing_ =
-            [this](const std::vector<listed_target>& objects)
+            [this, apply = std::move(result.on_target_listing_)](
+                const std::vector<listed_target>& objects)
         {
             // Changes from a watcher can't be applied to this listing, only to
             // a snapshot from the same watcher.
             position_ = {};
             needs_snapshot_ = true;
-            replica_.apply_listing(objects, store_.target_revision());
-        };
-        result.on_target_changes_ =
-            [this](const std::vector<target_change>& changes)
-        {
-            replica_.apply_changes(changes, store_.target_revision());
-        };
-        result.on_answer_ = [this]
-        {
-            replica_.record_answer(monotonic_now());
+            apply(objects);
         };
         return result;
     }
@@ -216,6 +203,7 @@
                            needs_status_query(watcher, monotonic_now());
         end_cause_ = subscription_end_cause::failed;
         needs_snapshot_ = false;
+        evacuations_named_ = false;
         auto position = position_;
         position.status_query_only_ = is_status_query_;
         position.peer_address_ = options_.peer_address_;
@@ -300,6 +288,12 @@
         {
             return false;
         }
+        // A watcher that does not read the evacuations can't be relied on.
+        evacuations_named_ = evacuations_named_ || update.evacuated_domains_;
+        if (follows_evacuations_ && !evacuations_named_)
+        {
+            return false;
+        }
         if (has_better_watcher(
                 watchers_, *watcher_, options_.failure_domain_, now))
         {
@@ -379,7 +373,8 @@
                                   milliseconds now)
     {
         needs_snapshot_ = needs_snapshot_ || update.is_snapshot_ ||
-                          !update.changes_.empty() || update.release_;
+                          !update.changes_.empty() || update.release_ ||
+                          update.evacuated_domains_;
         record_update_loss("the store does not answer the watcher", now);
         // A standby that left would be replaced by another VM, which would have
         // to read the store anew.
@@ -470,6 +465,7 @@
     const milliseconds started_at_ = monotonic_now();
     const registry_options options_;
     const std::string release_name_;
+    const bool follows_evacuations_;
     std::vector<watcher_record> watchers_;
     const bool is_watcher_;
     // Whether this VM is a standby of its watcher.
@@ -486,6 +482,9 @@
     std::optional<std::size_t> last_watcher_;
     // Whether the current subscription is a status query only.
     bool is_status_query_ = false;
+    // Whether the watcher has named the evacuations since the current
+    // subscription began.
+    bool evacuations_named_ = false;
     // Why the current subscription ends.
     subscription_end_cause end_cause_ = subscription_end_cause::failed;
     // Whether this VM lacks the state that the watcher's changes apply to, so
--- a/modules/av_feed/registry_control.hpp
+++ b/modules/av_feed/registry_control.hpp
@@ -12,18 +12,24 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace anvilturn
 {
 
-// Callbacks for a new release and for changed targets.
+// Callbacks for a new release, for changed targets and for changed evacuations.
 struct registry_handlers
 {
     std::function<void(std::shared_ptr<const release> value)> on_release_;
     std::function<void(const std::map<std::string, target_spec>& targets)>
         on_targets_;
+    // Called before the first targets if the store's evacuations are read;
+    // otherwise never.
+    std::function<void(const std::set<std::string>& failure_domains)>
+        on_evacuations_;
 };
 
 // How a VM takes part in the replication of the store.
@@ -53,6 +59,8 @@
     milliseconds targets_at_;
     release_version version_ = 0;
     std::size_t targets_ = 0;
+    // Nothing if they are not known, or not read.
+    std::optional<std::set<std::string>> evacuated_domains_;
     // VMs that subscribe to this one.
     std::size_t subscribers_ = 0;
     // How often updates from a watcher have ended.
--- a/modules/av_feed/store_adapter.hpp
+++ b/modules/av_feed/store_adapter.hpp
@@ -6,6 +6,7 @@
 #include <av_feed/collection_source.hpp>
 #include <av_feed/store_call_counts.hpp>
 #include <av_http/header_dialect.hpp>
+#include <av_model/evacuation_spec.hpp>
 #include <av_model/release.hpp>
 #include <av_model/target_spec.hpp>
 
@@ -26,6 +27,8 @@
     milliseconds call_timeout_{2000.0};
     // Values of each service where the store specifies none.
     service_spec service_defaults_;
+    // Whether the store's evacuations are read.
+    bool evacuations_ = false;
 };
 
 // The calls to the store that a VM needs.
@@ -35,6 +38,8 @@
     collection_source<release> releases_;
     std::string release_name_;
     collection_source<target_spec> targets_;
+    // Evacuations by failure domain. Without functions if they are not read.
+    collection_source<evacuation_spec> evacuations_;
     // Checks by a cheap query whether the store answers. Fails if it does not
     // within the timeout, or with an error; what it answers does not matter.
     std::function<void(milliseconds timeout,
--- a/modules/av_feed/store_replica.cpp
+++ b/modules/av_feed/store_replica.cpp
@@ -22,9 +22,22 @@
         min_expiring_outage(target_heartbeat_interval);
 }
 
+void store_replica::follow_evacuations()
+{
+    follows_evacuations_ = true;
+}
+
 void store_replica::start_publishing()
 {
-    if (std::exchange(publishes_, true) || release_ == nullptr)
+    if (std::exchange(publishes_, true))
+    {
+        return;
+    }
+    if (evacuated_domains_)
+    {
+        publisher_.publish_evacuations(*evacuated_domains_);
+    }
+    if (release_ == nullptr)
     {
         return;
     }
@@ -68,8 +81,50 @@
     publish_contents();
 }
 
+void store_replica::apply_evacuation_listing(
+    const std::vector<listed_object<evacuation_spec>>& objects,
+    store_revision revision)
+{
+    apply_evacuations(domains_listed(objects), revision);
+}
+
+void store_replica::apply_evacuation_changes(
+    const std::vector<object_change<evacuation_spec>>& changes,
+    store_revision revision)
+{
+    apply_evacuations(domains_after_changes(
+                          evacuated_domains_.value_or(domain_set()), changes),
+                      revision);
+}
+
+void store_replica::apply_evacuations(domain_set domains,
+                                      store_revision revision)
+{
+    if (evacuated_domains_ == domains)
+    {
+        return;
+    }
+    const bool was_known = evacuated_domains_.has_value();
+    log_evacuation_changes(
+        evacuated_domains_.value_or(domain_set()), domains, revision);
+    evacuated_domains_ = std::move(domains);
+    if (publishes_)
+    {
+        publisher_.publish_evacuations(*evacuated_domains_);
+    }
+    handlers_.on_evacuations_(*evacuated_domains_);
+    if (!was_known && has_targets_)
+    {
+        publish_to_handlers();
+    }
+}
+
 void store_replica::apply_update(const registry_update& update)
 {
+    if (follows_evacuations_ && update.evacuated_domains_)
+    {
+        apply_evacuations(*update.evacuated_domains_, update.store_revision_);
+    }
     if (update.release_)
     {
         apply_release(update.release_);
@@ -107,10 +162,12 @@
     state.release_at_ = release_at_;
     state.targets_ = registry_.entries_.size();
     state.targets_at_ = targets_at_;
+    state.evacuated_domains_ = evacuated_domains_;
 }
 
 void store_replica::publish_contents()
 {
+    has_targets_ = true;
     publish_to_subscribers();
     publish_to_handlers();
     schedule_expiry();
@@ -126,6 +183,10 @@
 
 void store_replica::publish_to_handlers()
 {
+    if (follows_evacuations_ && !evacuated_domains_)
+    {
+        return;
+    }
     auto targets = registered_targets(registry_);
     log_target_changes(published_, targets, revision_);
     published_ = std::move(targets);
--- a/modules/av_feed/store_replica.hpp
+++ b/modules/av_feed/store_replica.hpp
@@ -5,6 +5,7 @@
 
 #include <av_core/milliseconds.hpp>
 #include <av_feed/registry_control.hpp>
+#include <av_registry/evacuated_domains.hpp>
 #include <av_registry/target_registry.hpp>
 #include <av_replication/registry_publisher.hpp>
 #include <av_replication/registry_update.hpp>
@@ -14,13 +15,15 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace anvilturn
 {
 
-// What a VM holds of the store: the release and the registered targets. Applies
+// What a VM holds of the store: the release, the registered targets and, if it
+// follows them, the evacuated failure domains. Applies
 // what the store or a watcher reports, and passes changes on to the VM's
 // handlers and, if it publishes, to subscribers. Runs on the thread of the
 // io_context only.
@@ -33,6 +36,10 @@
                   registry_handlers handlers,
                   milliseconds target_heartbeat_interval);
 
+    // Passes evacuations on, and holds the targets back until they are known, so
+    // that no call is sent to an evacuated one. Called first, if at all.
+    void follow_evacuations();
+
     // Keeps contents for subscribers from now on, which takes time and memory
     // with each change.
     void start_publishing();
@@ -48,6 +55,14 @@
                        store_revision revision);
     void apply_changes(const std::vector<target_change>& changes,
                        store_revision revision);
+    // Apply the evacuations that the store lists, or the changes that it
+    // reports, up to the revision.
+    void apply_evacuation_listing(
+        const std::vector<listed_object<evacuation_spec>>& objects,
+        store_revision revision);
+    void apply_evacuation_changes(
+        const std::vector<object_change<evacuation_spec>>& changes,
+        store_revision revision);
     // Applies an update of a watcher.
     void apply_update(const registry_update& update);
 
@@ -59,6 +74,7 @@
     void describe(registry_state& state) const;
 
 private:
+    void apply_evacuations(domain_set domains, store_revision revision);
     void publish_contents();
     void publish_to_subscribers();
     void publish_to_handlers();
@@ -72,7 +88,12 @@
     milliseconds release_at_;
     target_registry registry_;
     milliseconds targets_at_;
+    // Whether the targets are known.
+    bool has_targets_ = false;
     store_revision revision_ = 0;
+    bool follows_evacuations_ = false;
+    // Nothing until they are known.
+    std::optional<domain_set> evacuated_domains_;
     // What the handlers were told last.
     std::map<std::string, target_spec> published_;
 };
--- a/modules/av_feed/store_session.cpp
+++ b/modules/av_feed/store_session.cpp
@@ -5,6 +5,7 @@
 #include <av_feed/collection_feed.hpp>
 #include <av_feed/retry_backoff.hpp>
 
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -15,6 +16,23 @@
 
 namespace asio = boost::asio;
 
+// A single check that finds missed evacuations replaces the watch, since each
+// collection has its turn every 3 s only on a VM without a watcher, and an
+// evacuation must be in force 5 s after the store has acknowledged it. A watch
+// that was replaced needlessly costs one call; evacuations change rarely.
+constexpr int max_silent_evacuation_checks = 1;
+// Part of the check interval after which the next collection has its turn if
+// there are three collections instead of two.
+constexpr double three_collections_factor = 2.0 / 3.0;
+
+// Collections in the order of their checks.
+enum class checked_collection
+{
+    targets,
+    releases,
+    evacuations
+};
+
 } // namespace
 
 class store_session::implementation
@@ -32,6 +50,14 @@
         , releases_(context, "releases", calls_.releases_, release_observer())
         , targets_(context, "targets", calls_.targets_, target_observer())
     {
+        if (calls_.evacuations_.list_)
+        {
+            evacuations_.emplace(context,
+                                 "evacuations",
+                                 calls_.evacuations_,
+                                 evacuation_observer(),
+                                 max_silent_evacuation_checks);
+        }
     }
 
     void start()
@@ -62,8 +88,7 @@
         running_ = false;
         ++generation_;
         timer_.cancel();
-        releases_.stop();
-        targets_.stop();
+        stop_feeds();
     }
 
     void set_intervals(const store_call_intervals& intervals)
@@ -83,7 +108,8 @@
 
     bool is_synced() const
     {
-        return releases_.is_listed() && targets_.is_listed();
+        return releases_.is_listed() && targets_.is_listed() &&
+               (!evacuations_ || evacuations_->is_listed());
     }
 
     store_revision target_revision() const
@@ -91,6 +117,11 @@
         return targets_.revision();
     }
 
+    store_revision evacuation_revision() const
+    {
+        return evacuations_ ? evacuations_->revision() : 0;
+    }
+
     store_call_counts counts() const
     {
         return calls_.counts_();
@@ -149,13 +180,56 @@
         return observer;
     }
 
-    // Lists both collections, even if they were listed before, and watches
+    collection_observer<evacuation_spec> evacuation_observer()
+    {
+        collection_observer<evacuation_spec> observer;
+        observer.on_listing_ =
+            [this](const std::vector<listed_object<evacuation_spec>>& objects)
+        {
+            record_response();
+            observer_.on_evacuation_listing_(objects);
+        };
+        observer.on_changes_ =
+            [this](const std::vector<object_change<evacuation_spec>>& changes)
+        {
+            record_response();
+            observer_.on_evacuation_changes_(changes);
+        };
+        observer.on_failure_ = [this](const absl::Status& status)
+        {
+            fail(status);
+        };
+        return observer;
+    }
+
+    // Lists the collections, even if they were listed before, and watches
     // them.
     void start_feeds()
     {
         releases_.start();
         targets_.start();
-        schedule_check(intervals_.check_interval_);
+        if (evacuations_)
+        {
+            evacuations_->start();
+        }
+        schedule_check(check_interval());
+    }
+
+    void stop_feeds()
+    {
+        releases_.stop();
+        targets_.stop();
+        if (evacuations_)
+        {
+            evacuations_->stop();
+        }
+    }
+
+    milliseconds check_interval() const
+    {
+        return evacuations_
+                   ? intervals_.check_interval_ * three_collections_factor
+                   : intervals_.check_interval_;
     }
 
     void record_response()
@@ -181,8 +255,7 @@
 
     void fail(const absl::Status& status)
     {
-        releases_.stop();
-        targets_.stop();
+        stop_feeds();
         store_unreachable_ = true;
         if (failures_++ == 0)
         {
@@ -213,7 +286,7 @@
             });
     }
 
-    // Checks whether the store answers. While both collections are watched, the
+    // Checks whether the store answers. While all collections are watched, the
     // check also looks for changes that a watch has missed, in each collection
     // in turn.
     void check()
@@ -232,15 +305,29 @@
             calls_.check_(timeout, done);
             return;
         }
-        last_check_was_targets_ = !last_check_was_targets_;
-        if (last_check_was_targets_)
+        switch (std::exchange(next_check_, collection_after(next_check_)))
         {
+        case checked_collection::targets:
             targets_.check(timeout, done);
+            break;
+        case checked_collection::releases:
+            releases_.check(timeout, done);
+            break;
+        case checked_collection::evacuations:
+            evacuations_->check(timeout, done);
+            break;
         }
-        else
+    }
+
+    checked_collection collection_after(checked_collection value) const
+    {
+        if (value == checked_collection::targets)
         {
-            releases_.check(timeout, done);
+            return checked_collection::releases;
         }
+        return value == checked_collection::releases && evacuations_
+                   ? checked_collection::evacuations
+                   : checked_collection::targets;
     }
 
     void handle_check_result(const absl::Status& status)
@@ -253,7 +340,7 @@
         record_answer();
         if (!store_unreachable_)
         {
-            schedule_check(intervals_.check_interval_);
+            schedule_check(check_interval());
             return;
         }
         if (failures_ == 0)
@@ -288,13 +375,15 @@
     asio::steady_timer timer_;
     collection_feed<release> releases_;
     collection_feed<target_spec> targets_;
+    // Nothing if the store's evacuations are not read.
+    std::optional<collection_feed<evacuation_spec>> evacuations_;
     milliseconds answered_at_;
     int generation_ = 0;
     int failures_ = 0;
     bool running_ = false;
     bool store_unreachable_ = false;
-    // Whether the last check was for changes of the targets.
-    bool last_check_was_targets_ = false;
+    // The collection that the next check looks for missed changes in.
+    checked_collection next_check_ = checked_collection::targets;
 };
 
 store_session::store_session(asio::io_context& context,
@@ -348,6 +437,11 @@
     return implementation_->target_revision();
 }
 
+store_revision store_session::evacuation_revision() const
+{
+    return implementation_->evacuation_revision();
+}
+
 store_call_counts store_session::counts() const
 {
     return implementation_->counts();
--- a/modules/av_feed/store_session.hpp
+++ b/modules/av_feed/store_session.hpp
@@ -21,6 +21,13 @@
         on_target_listing_;
     std::function<void(const std::vector<object_change<target_spec>>& changes)>
         on_target_changes_;
+    // Not called if the store's evacuations are not read.
+    std::function<void(
+        const std::vector<listed_object<evacuation_spec>>& objects)>
+        on_evacuation_listing_;
+    std::function<void(
+        const std::vector<object_change<evacuation_spec>>& changes)>
+        on_evacuation_changes_;
     // The store has answered. Called before the callback for what it has
     // answered.
     std::function<void()> on_answer_;
@@ -29,7 +36,9 @@
 // How often a session calls the store.
 struct store_call_intervals
 {
-    // Between two checks while the store answers.
+    // Between two checks while the store answers; two thirds of it if
+    // evacuations are read, so that the checks for missed changes of the other
+    // collections are as frequent as without.
     milliseconds check_interval_;
     // Range of the time between two checks while the store does not answer,
     // before it is randomized.
@@ -68,13 +77,16 @@
     // Returns when the store last answered; zero if never.
     milliseconds answered_at() const;
 
-    // Returns whether both collections have been listed and no call has failed
+    // Returns whether all collections have been listed and no call has failed
     // since.
     bool is_synced() const;
 
     // Returns the revision of the store up to which targets are known.
     store_revision target_revision() const;
 
+    // Returns the revision of the store up to which evacuations are known.
+    store_revision evacuation_revision() const;
+
     store_call_counts counts() const;
 
 private:
--- a/modules/av_feed/target_log.cpp
+++ b/modules/av_feed/target_log.cpp
@@ -40,8 +40,33 @@
         .write();
 }
 
+void log_missing(std::string_view event,
+                 const domain_set& domains,
+                 const domain_set& others,
+                 store_revision revision)
+{
+    for (const auto& domain : domains)
+    {
+        if (others.count(domain) == 0)
+        {
+            log_event(log_level::info, event)
+                .field("failure_domain", domain)
+                .field("revision", revision)
+                .write();
+        }
+    }
+}
+
 } // namespace
 
+void log_evacuation_changes(const domain_set& before,
+                            const domain_set& after,
+                            store_revision revision)
+{
+    log_missing("evacuation_began", after, before, revision);
+    log_missing("evacuation_ended", before, after, revision);
+}
+
 void log_target_changes(const std::map<std::string, target_spec>& before,
                         const std::map<std::string, target_spec>& after,
                         store_revision revision)
--- a/modules/av_model/av_model.hpp
+++ b/modules/av_model/av_model.hpp
@@ -7,6 +7,7 @@
 
 #include <av_model/account_spec.hpp>
 #include <av_model/call_outcome.hpp>
+#include <av_model/evacuation_spec.hpp>
 #include <av_model/fleet_view.hpp>
 #include <av_model/load_report.hpp>
 #include <av_model/release.hpp>
--- a/modules/av_proxy/av_proxy.hpp
+++ b/modules/av_proxy/av_proxy.hpp
@@ -11,6 +11,7 @@
 
 #include <av_proxy/freshness.hpp>
 #include <av_proxy/outlier_check.hpp>
+#include <av_proxy/region_limit.hpp>
 #include <av_proxy/request_path.hpp>
 #include <av_proxy/request_path_builder.hpp>
 #include <av_proxy/request_path_settings.hpp>
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -200,6 +200,11 @@
     return *service_;
 }
 
+const region_limit& proxied_call::regions() const
+{
+    return regions_;
+}
+
 void proxied_call::set_target_summary(const target_summary& summary)
 {
     target_summary_ = summary;
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -12,6 +12,7 @@
 #include <av_model/call_outcome.hpp>
 #include <av_proxy/attempt_observer.hpp>
 #include <av_proxy/caller_link.hpp>
+#include <av_proxy/region_limit.hpp>
 #include <av_proxy/routing_table.hpp>
 #include <av_proxy/target_connection.hpp>
 #include <av_routing/target_summary.hpp>
@@ -86,6 +87,8 @@
     void set_expected_wait(milliseconds value);
     bool is_excluded(const target_state* state) const;
     const service_entry& service() const;
+    // The regions in which the call may run.
+    const region_limit& regions() const;
     // Stores the summary of the targets when none was found for the call, for
     // logs.
     void set_target_summary(const target_summary& summary);
@@ -211,6 +214,7 @@
     // load report showed room.
     bool refused_with_room_ = false;
     std::optional<target_summary> target_summary_;
+    region_limit regions_;
     // When room for the refused call is expected, if that is known.
     std::optional<milliseconds> expected_wait_;
     milliseconds attempt_started_at_;
--- a/modules/av_proxy/proxied_call_start.cpp
+++ b/modules/av_proxy/proxied_call_start.cpp
@@ -58,6 +58,8 @@
     const auto& head = *head_;
     idempotent_ = rule_->idempotent_;
     max_attempts_ = rule_->max_attempts_;
+    regions_ = {};
+    restrict_to(regions_, rule_->allowed_regions_);
     work_ = worker_.work_of(*rule_);
     latency_objective_ = rule_->latency_objective_;
     lifecycle_.start(idempotent_);
--- a/modules/av_proxy/request_path.cpp
+++ b/modules/av_proxy/request_path.cpp
@@ -14,6 +14,7 @@
 #include <future>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -129,6 +130,7 @@
         std::make_shared<const rule_matcher>();
     fleet_view fleet_;
     std::optional<std::map<std::string, target_spec>> registered_;
+    std::set<std::string> evacuated_domains_;
 
     absl::Status listen_all()
     {
@@ -167,7 +169,9 @@
                                                     : release_.targets_,
                                         fleet_,
                                         core_.workers_.size(),
-                                        previous.get()};
+                                        previous.get(),
+                                        &evacuated_domains_,
+                                        &core_.settings_.regions_};
         core_.table_.publish(build_routing_table(input, monotonic_now()));
     }
 
@@ -256,6 +260,13 @@
     implementation_->publish_table();
 }
 
+void request_path::publish_evacuations(std::set<std::string> failure_domains)
+{
+    const std::lock_guard<std::mutex> lock(implementation_->publish_mutex_);
+    implementation_->evacuated_domains_ = std::move(failure_domains);
+    implementation_->publish_table();
+}
+
 void request_path::publish(const fleet_view& value)
 {
     const std::lock_guard<std::mutex> lock(implementation_->publish_mutex_);
--- a/modules/av_proxy/request_path.hpp
+++ b/modules/av_proxy/request_path.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace anvilturn
@@ -49,6 +50,10 @@
     // targets listed in releases are ignored.
     void publish(const std::map<std::string, target_spec>& registered);
 
+    // Sets the evacuated failure domains, whose targets get no new calls and no
+    // load queries.
+    void publish_evacuations(std::set<std::string> failure_domains);
+
     // Sets the VMs of the fleet.
     void publish(const fleet_view& value);
 
--- a/modules/av_proxy/request_path_settings.hpp
+++ b/modules/av_proxy/request_path_settings.hpp
@@ -7,6 +7,7 @@
 #include <av_http/http_limits.hpp>
 
 #include <cstddef>
+#include <map>
 #include <string>
 #include <tuple>
 
@@ -49,6 +50,9 @@
     // A connection without a call is closed after this time.
     milliseconds idle_timeout_{60000.0};
     milliseconds connect_timeout_{1000.0};
+    // The region of each failure domain, for calls that are restricted to
+    // regions. A failure domain that is missing belongs to none.
+    std::map<std::string, std::string> regions_{};
 
     // Returns all members, for comparison.
     auto tie() const
@@ -66,7 +70,8 @@
                         relay_memory_bytes_,
                         request_timeout_,
                         idle_timeout_,
-                        connect_timeout_);
+                        connect_timeout_,
+                        regions_);
     }
 };
 
--- a/modules/av_proxy/routing_table.cpp
+++ b/modules/av_proxy/routing_table.cpp
@@ -115,8 +115,46 @@
         forward_connections_per_thread;
 }
 
+void set_evacuation_and_region(target_entry& target,
+                               const routing_table_input& input)
+{
+    const auto& domain = target.spec_.failure_domain_;
+    target.evacuated_ = input.evacuated_domains_ != nullptr &&
+                        input.evacuated_domains_->count(domain) > 0;
+    if (input.regions_ == nullptr)
+    {
+        return;
+    }
+    const auto region = input.regions_->find(domain);
+    if (region != input.regions_->end())
+    {
+        target.region_ = region->second;
+    }
+}
+
 } // namespace
 
+bool is_permitted(const target_entry& target,
+                  const region_limit& limit) noexcept
+{
+    return !target.evacuated_ && allows(limit, target.region_);
+}
+
+bool has_permitted_target(const service_entry& service,
+                          const region_limit& limit) noexcept
+{
+    if (!limit.is_limited_ && !service.has_evacuated_targets_)
+    {
+        return true;
+    }
+    return std::any_of(service.targets_.begin(),
+                       service.targets_.end(),
+                       [&limit](const target_entry& target)
+                       {
+                           return is_permitted(target, limit);
+                       });
+}
+
 bool uses_load_queries(const service_entry& service) noexcept
 {
     return service.policy_ != nullptr &&
@@ -164,6 +202,8 @@
             spec.failure_domain_ == fleet.self_.failure_domain_;
         target.connections_per_thread_ = connection_share(
             spec.connection_limit_, fleet.members_.size(), threads);
+        set_evacuation_and_region(target, input);
+        service->second.has_evacuated_targets_ |= target.evacuated_;
         service->second.targets_.push_back(std::move(target));
     }
     return table;
--- a/modules/av_proxy/routing_table.hpp
+++ b/modules/av_proxy/routing_table.hpp
@@ -3,6 +3,7 @@
 
 #include <av_model/fleet_view.hpp>
 #include <av_model/release.hpp>
+#include <av_proxy/region_limit.hpp>
 #include <av_proxy/rule_matcher.hpp>
 #include <av_proxy/service_state.hpp>
 #include <av_proxy/target_state.hpp>
@@ -11,6 +12,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,6 +29,10 @@
     // Maximum number of connections from one thread of this VM to the target,
     // which keeps all VMs together below the connection limit of the target.
     int connections_per_thread_ = 1;
+    // Whether the failure domain of the target is evacuated, and its region;
+    // empty if it belongs to none.
+    bool evacuated_ = false;
+    std::string region_{};
 };
 
 // One service with what is needed to choose a target for its calls.
@@ -42,8 +48,19 @@
     // Whether this VM is the dispatcher VM, which sees all calls of the service
     // in its failure domain.
     bool is_dispatcher_vm_ = false;
+    // Whether any of the targets is evacuated.
+    bool has_evacuated_targets_ = false;
 };
 
+// Returns whether the target is neither evacuated nor outside the regions.
+bool is_permitted(const target_entry& target,
+                  const region_limit& limit) noexcept;
+
+// Returns whether the service has a target that is permitted, whether or not it
+// can be used now, or no target that would be excluded.
+bool has_permitted_target(const service_entry& service,
+                          const region_limit& limit) noexcept;
+
 // Returns whether the service's policy queries the load of targets before it
 // chooses one.
 bool uses_load_queries(const service_entry& service) noexcept;
@@ -76,6 +93,10 @@
     std::size_t thread_count_ = 1;
     // The table that is replaced; null if there is none.
     const routing_table* previous_ = nullptr;
+    // The evacuated failure domains, and the region of each failure domain;
+    // null if there are none.
+    const std::set<std::string>* evacuated_domains_ = nullptr;
+    const std::map<std::string, std::string>* regions_ = nullptr;
 };
 
 // Builds a table. Carries over the states of targets that keep their name,
--- a/modules/av_proxy/worker_choice.cpp
+++ b/modules/av_proxy/worker_choice.cpp
@@ -170,13 +170,18 @@
     const bool queries_first = uses_load_queries(service);
     const auto* const profile =
         queries_first ? &worker_state_of(service).profile_ : nullptr;
+    const region_limit unlimited;
+    const auto& regions = call == nullptr ? unlimited : call->regions();
     for (const auto& target : service.targets_)
     {
         const int best = queries_first
                              ? best_concurrency(*profile, target.spec_.slots_)
                              : target.spec_.slots_;
         auto view = view_of(target.spec_, *target.state_, input.now_);
-        const auto status = eligibility(target.spec_, *target.state_, input);
+        const auto status =
+            is_permitted(target, regions)
+                ? eligibility(target.spec_, *target.state_, input)
+                : target_eligibility::excluded;
         refresh_pending =
             refresh_pending || status == target_eligibility::awaits_refresh;
         view.eligible_ =
--- a/modules/av_proxy/worker_queue.cpp
+++ b/modules/av_proxy/worker_queue.cpp
@@ -71,6 +71,12 @@
 void worker::dispatch_or_enqueue(proxied_call& call,
                                  std::shared_ptr<proxied_call> shared)
 {
+    if (!has_permitted_target(call.service(), call.regions()))
+    {
+        // Not queued, where it would wait behind calls that have targets.
+        call.refuse(error_kind::no_target_available);
+        return;
+    }
     auto& worker_state = worker_state_of(call.service());
     const bool queries_first = uses_load_queries(call.service());
     if (queries_first)
--- a/modules/av_replication/registry_publisher.cpp
+++ b/modules/av_replication/registry_publisher.cpp
@@ -126,6 +126,17 @@
         notify(before);
     }
 
+    void require_evacuations()
+    {
+        composer_.require_evacuations();
+    }
+
+    void publish_evacuations(std::set<std::string> domains)
+    {
+        composer_.set_evacuations(std::move(domains));
+        name_to_subscribers();
+    }
+
     std::size_t subscribers() const
     {
         return sessions_.size();
@@ -384,6 +395,16 @@
         {
             standbys_ = std::move(standbys);
             composer_.set_standbys(standbys_);
+            name_to_subscribers();
+        }
+    }
+
+    // Sends what first messages name, the standbys and the evacuations, to all
+    // subscribers.
+    void name_to_subscribers()
+    {
+        if (!sessions_.empty())
+        {
             broadcast(composer_.first_update_since(composer_.position()));
         }
     }
@@ -466,6 +487,16 @@
     implementation_->publish_release(std::move(value));
 }
 
+void registry_publisher::require_evacuations()
+{
+    implementation_->require_evacuations();
+}
+
+void registry_publisher::publish_evacuations(std::set<std::string> domains)
+{
+    implementation_->publish_evacuations(std::move(domains));
+}
+
 std::size_t registry_publisher::subscribers() const
 {
     return implementation_->subscribers();
--- a/modules/av_replication/registry_publisher.hpp
+++ b/modules/av_replication/registry_publisher.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace boost
@@ -43,11 +44,17 @@
     // can't be used.
     absl::Status start(const std::string& address);
 
+    // Subscribers get contents only once the evacuations were published too.
+    // Called before start(), if at all.
+    void require_evacuations();
+
     // Send what has changed to the subscribers.
     void
     publish_targets(const std::map<std::string, registered_target>& targets,
                     store_revision revision);
     void publish_release(std::shared_ptr<const release> value);
+    // Names the evacuated failure domains to all subscribers.
+    void publish_evacuations(std::set<std::string> domains);
 
     // Returns the number of VMs that are connected.
     std::size_t subscribers() const;
--- a/modules/av_replication/update_composer.cpp
+++ b/modules/av_replication/update_composer.cpp
@@ -57,6 +57,17 @@
     standbys_ = std::move(standbys);
 }
 
+void update_composer::require_evacuations()
+{
+    requires_evacuations_ = true;
+}
+
+void update_composer::set_evacuations(std::set<std::string> domains)
+{
+    snapshots_ = {};
+    evacuated_domains_ = std::move(domains);
+}
+
 replication_position update_composer::position() const
 {
     replication_position result;
@@ -78,7 +89,8 @@
 
 bool update_composer::has_complete_state() const
 {
-    return log_.release_ && log_.store_revision_ > 0;
+    return log_.release_ && log_.store_revision_ > 0 &&
+           (!requires_evacuations_ || evacuated_domains_);
 }
 
 shared_frame
@@ -121,6 +133,7 @@
 {
     auto update = anvilturn::update_since(log_, since);
     update.standbys_ = standbys_;
+    update.evacuated_domains_ = evacuated_domains_;
     return encode(std::move(update), delay);
 }
 
--- a/modules/av_replication/update_composer.hpp
+++ b/modules/av_replication/update_composer.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,11 @@
     void set_release(std::shared_ptr<const release> value);
     // The standbys are named in first messages; never, if this is not called.
     void set_standbys(std::vector<std::string> standbys);
+    // The state is not complete before the evacuations are known; otherwise
+    // they are never named.
+    void require_evacuations();
+    // The evacuated failure domains are named in first messages.
+    void set_evacuations(std::set<std::string> domains);
 
     // Returns the position that the current contents have.
     replication_position position() const;
@@ -44,7 +50,8 @@
     replication_position
     position_after_update(const replication_position& subscriber) const;
 
-    // Returns whether a release and a listing of the targets are known.
+    // Returns whether a release, a listing of the targets and, if required, the
+    // evacuations are known.
     bool has_complete_state() const;
 
     // Returns a message with what follows the position.
@@ -73,6 +80,8 @@
     const std::function<milliseconds()> measure_store_response_age_;
     registry_log log_;
     std::optional<std::vector<std::string>> standbys_;
+    bool requires_evacuations_ = false;
+    std::optional<std::set<std::string>> evacuated_domains_;
     // The last snapshots, without and with the release; none if the contents
     // have changed since.
     std::array<shared_snapshot, 2> snapshots_;
--- a/modules/av_settings/settings_fields.cpp
+++ b/modules/av_settings/settings_fields.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr std::size_t max_seed_peers = 16;
+constexpr std::size_t max_regions = 256;
+constexpr std::size_t max_region_name_length = 256;
 constexpr std::int64_t kibibyte = 1024;
 constexpr std::int64_t mebibyte = 1024 * kibibyte;
 constexpr milliseconds min_timeout{10.0};
@@ -105,6 +107,67 @@
     return field;
 }
 
+// Parses a map from text to text without duplicate keys; returns nothing if the
+// value is none.
+std::optional<std::map<std::string, std::string>>
+parse_text_map(const yaml_value& value)
+{
+    std::map<std::string, std::string> result;
+    for (const auto& member : value.members_)
+    {
+        const auto text = parse_text(member.value_);
+        if (!text || !result.emplace(member.key_, *text).second)
+        {
+            return std::nullopt;
+        }
+    }
+    return value.kind_ == yaml_kind::map ? std::make_optional(result)
+                                         : std::nullopt;
+}
+
+bool is_region_name(const std::string& text)
+{
+    return !text.empty() && is_printable(text, max_region_name_length);
+}
+
+yaml_field<vm_settings> regions_field()
+{
+    auto field = describe_field<vm_settings>(
+        "regions",
+        "map of at most 256 names to names",
+        "region of each failure domain, for calls that are restricted to "
+        "regions; a failure domain that is missing belongs to none");
+    field.read_ = [](const yaml_value& value, vm_settings& into)
+    {
+        auto regions = parse_text_map(value);
+        into.regions_ = std::move(regions).value_or(into.regions_);
+        return regions.has_value();
+    };
+    field.is_valid_ = [](const vm_settings& from)
+    {
+        const auto& regions = from.regions_;
+        return regions.size() <= max_regions &&
+               std::all_of(regions.begin(),
+                           regions.end(),
+                           [](const auto& entry)
+                           {
+                               return is_region_name(entry.first) &&
+                                      is_region_name(entry.second);
+                           });
+    };
+    field.write_ = [](const vm_settings& from)
+    {
+        yaml_value map;
+        map.kind_ = yaml_kind::map;
+        for (const auto& [domain, region] : from.regions_)
+        {
+            map.members_.push_back({domain, 0, yaml_scalar(region)});
+        }
+        return map;
+    };
+    return field;
+}
+
 } // namespace
 
 const yaml_fields<vm_settings>& vm_settings_fields()
@@ -122,7 +185,8 @@
                             &section::deployment_,
                             "name of the deployment, whose VMs share one "
                             "release; VMs of others are refused as peers")),
-        seed_peers_field()};
+        seed_peers_field(),
+        regions_field()};
     return fields;
 }
 
@@ -172,7 +236,11 @@
         name_field(
             "adapter",
             &section::adapter_,
-            "protocol of the platform; native is the project's own interface")};
+            "protocol of the platform; native is the project's own interface"),
+        boolean_field("evacuations",
+                      &section::evacuations_,
+                      "whether entries of the platform's store evacuate "
+                      "failure domains; if not, they are not read")};
     return fields;
 }
 
--- a/modules/av_settings/settings_sections.hpp
+++ b/modules/av_settings/settings_sections.hpp
@@ -6,6 +6,7 @@
 #include <av_core/milliseconds.hpp>
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -27,11 +28,14 @@
     // Peer addresses of some other VMs, which this VM contacts first. They let
     // it find its peers and the release while the platform is down.
     std::vector<std::string> seed_peers_;
+    // The region of each failure domain. One that is missing belongs to none.
+    std::map<std::string, std::string> regions_;
 
     // Returns all members, for comparison.
     auto tie() const
     {
-        return std::tie(name_, failure_domain_, deployment_, seed_peers_);
+        return std::tie(
+            name_, failure_domain_, deployment_, seed_peers_, regions_);
     }
 };
 
@@ -77,12 +81,18 @@
     // Name of the plug-in that implements the platform's protocol, or
     // native_adapter.
     std::string adapter_ = native_adapter;
+    // Whether operators can evacuate failure domains by entries of the
+    // platform's store. If not, these are not read.
+    bool evacuations_ = false;
 
     // Returns all members, for comparison.
     auto tie() const
     {
-        return std::tie(
-            address_, call_timeout_, target_heartbeat_interval_, adapter_);
+        return std::tie(address_,
+                        call_timeout_,
+                        target_heartbeat_interval_,
+                        adapter_,
+                        evacuations_);
     }
 };
 
