--- /dev/null
+++ b/modules/av_feed/tests/evacuations_test.cpp
@@ -0,0 +1,327 @@
+// Tests of how a VM learns of evacuations, from a scripted store or from
+// watchers that listen on loopback addresses. Timers are real, but no test case
+// depends on their duration.
+
+#include "scripted_store.hpp"
+
+#include <av_feed/registry_control.hpp>
+#include <av_feed/store_session.hpp>
+#include <av_registry/evacuated_domains.hpp>
+#include <av_replication/registry_publisher.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <cstdlib>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace anvilturn;
+using anvilturn::testing::scripted_store;
+
+namespace
+{
+
+using names = std::set<std::string>;
+
+constexpr std::chrono::seconds test_timeout{30};
+constexpr store_call_intervals test_intervals{
+    milliseconds(5.0), milliseconds(5.0), milliseconds(5.0), milliseconds(1.0)};
+constexpr milliseconds no_expiry{1e9};
+
+struct running_context
+{
+    template <typename Condition>
+    void run_until(Condition condition)
+    {
+        const auto limit = std::chrono::steady_clock::now() + test_timeout;
+        while (!condition())
+        {
+            BOOST_TEST_REQUIRE((std::chrono::steady_clock::now() < limit));
+            context_.run_one_for(std::chrono::milliseconds(100));
+        }
+    }
+
+    boost::asio::io_context context_;
+};
+
+// A session on a scripted store.
+struct session_fixture : running_context
+{
+    explicit session_fixture(bool has_evacuations)
+        : store_(context_)
+    {
+        store_.has_evacuations_ = has_evacuations;
+        store_.put_release(3);
+        store_.put("x");
+        store_observer observer;
+        observer.on_releases_ = [](const auto&) {};
+        observer.on_target_listing_ = [](const auto&) {};
+        observer.on_target_changes_ = [](const auto&) {};
+        observer.on_evacuation_listing_ = [this](const auto& objects)
+        {
+            domains_ = domains_listed(objects);
+        };
+        observer.on_evacuation_changes_ = [this](const auto& changes)
+        {
+            domains_ = domains_after_changes(domains_, changes);
+        };
+        observer.on_answer_ = [] {};
+        session_ = std::make_unique<store_session>(
+            context_, store_.calls(), std::move(observer), test_intervals);
+        session_->start();
+    }
+
+    scripted_store store_;
+    names domains_;
+    std::unique_ptr<store_session> session_;
+};
+
+// What a VM's handlers were told, in order.
+struct vm_fixture : running_context
+{
+    vm_fixture()
+        : store_(context_)
+    {
+        store_.has_evacuations_ = true;
+        store_.put_release(3);
+        store_.put("x");
+    }
+
+    void start(const std::vector<std::string>& watchers)
+    {
+        registry_options options;
+        options.failure_domain_ = "a";
+        options.target_heartbeat_interval_ = no_expiry;
+        options.peer_address_ = "127.0.30.10:0";
+        options.watchers_ = watchers;
+        registry_handlers handlers;
+        handlers.on_release_ = [](const auto&) {};
+        handlers.on_targets_ = [this](const auto& targets)
+        {
+            // Calls could be sent to evacuated targets otherwise.
+            BOOST_TEST(evacuations_known_);
+            targets_ = targets.size();
+        };
+        handlers.on_evacuations_ = [this](const auto& domains)
+        {
+            evacuations_known_ = true;
+            domains_ = domains;
+        };
+        control_ = std::make_unique<registry_control>(
+            context_, options, store_.calls(), std::move(handlers));
+        BOOST_TEST_REQUIRE(control_->start().ok());
+    }
+
+    scripted_store store_;
+    bool evacuations_known_ = false;
+    std::size_t targets_ = 0;
+    names domains_;
+    std::unique_ptr<registry_control> control_;
+};
+
+// A watcher with contents, and with evacuations if it publishes them.
+struct scripted_watcher
+{
+    scripted_watcher(boost::asio::io_context& context,
+                     const std::string& address)
+        : server_(context,
+                  "a",
+                  true,
+                  [this]
+                  {
+                      return store_response_age_;
+                  })
+    {
+        BOOST_TEST_REQUIRE(server_.start(address).ok());
+        auto value = std::make_shared<release>();
+        value->version_ = 3;
+        server_.publish_release(std::move(value));
+        std::map<std::string, registered_target> registered;
+        registered["x"].spec_.name_ = "x";
+        registered["x"].revision_ = 10;
+        server_.publish_targets(registered, 10);
+    }
+
+    milliseconds store_response_age_{5.0};
+    registry_publisher server_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(evacuations_suite)
+
+BOOST_AUTO_TEST_CASE(evacuations_are_not_called_for_unless_asked)
+{
+    session_fixture fixture(false);
+    fixture.store_.evacuate("a");
+    fixture.run_until(
+        [&]
+        {
+            return fixture.store_.targets_.checks_ > 3;
+        });
+    BOOST_TEST(fixture.store_.evacuations_.lists_ == 0);
+    BOOST_TEST(fixture.store_.evacuations_.watches_ == 0);
+    BOOST_TEST(fixture.store_.evacuations_.checks_ == 0);
+    BOOST_TEST(fixture.domains_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(evacuations_are_listed_watched_and_checked_in_turn)
+{
+    session_fixture fixture(true);
+    fixture.store_.evacuate("a");
+    auto& evacuations = fixture.store_.evacuations_;
+    fixture.run_until(
+        [&]
+        {
+            return evacuations.pending_watch_ != nullptr;
+        });
+    BOOST_TEST((fixture.domains_ == names{"a"}));
+    object_changes<evacuation_spec> changes;
+    changes.revision_ = 30;
+    changes.changes_.resize(2);
+    changes.changes_[0].object_.name_ = "a";
+    changes.changes_[0].removed_ = true;
+    changes.changes_[1].object_.name_ = "b";
+    std::exchange(evacuations.pending_watch_, nullptr)(changes);
+    BOOST_TEST((fixture.domains_ == names{"b"}));
+    BOOST_TEST(fixture.session_->evacuation_revision() == 30U);
+    fixture.run_until(
+        [&]
+        {
+            return evacuations.checks_ >= 3;
+        });
+    const auto& store = fixture.store_;
+    BOOST_TEST(std::abs(store.targets_.checks_ - evacuations.checks_) <= 1);
+    BOOST_TEST(std::abs(store.releases_.checks_ - evacuations.checks_) <= 1);
+}
+
+// A watch whose connection is dead reports nothing, and an evacuation must be
+// known in time on a VM that has no watcher.
+BOOST_AUTO_TEST_CASE(a_watch_that_misses_an_evacuation_is_replaced_at_once)
+{
+    session_fixture fixture(true);
+    auto& evacuations = fixture.store_.evacuations_;
+    fixture.run_until(
+        [&]
+        {
+            return evacuations.pending_watch_ != nullptr;
+        });
+    const auto checks = evacuations.checks_;
+    evacuations.has_changes_ = true;
+    fixture.run_until(
+        [&]
+        {
+            return evacuations.watches_ == 2;
+        });
+    // A check may have been answered before the changes were there.
+    BOOST_TEST(evacuations.checks_ <= checks + 2);
+}
+
+// A VM that starts during an evacuation must not send calls before it knows.
+BOOST_AUTO_TEST_CASE(targets_are_held_back_until_the_evacuations_are_known)
+{
+    vm_fixture vm;
+    vm.store_.evacuate("b");
+    vm.store_.evacuations_.silent_ = true;
+    vm.start({});
+    vm.run_until(
+        [&]
+        {
+            return vm.store_.targets_.pending_watch_ &&
+                   vm.control_->state().version_ == 3U;
+        });
+    BOOST_TEST(vm.targets_ == 0U);
+    BOOST_TEST(!vm.evacuations_known_);
+    BOOST_TEST(!vm.control_->state().evacuated_domains_.has_value());
+    vm.store_.evacuations_.silent_ = false;
+    vm.store_.fail_watches();
+    vm.run_until(
+        [&]
+        {
+            return vm.targets_ == 1U;
+        });
+    BOOST_TEST((vm.domains_ == names{"b"}));
+    BOOST_TEST((vm.control_->state().evacuated_domains_ == names{"b"}));
+}
+
+BOOST_AUTO_TEST_CASE(evacuations_are_learnt_from_a_watcher)
+{
+    vm_fixture vm;
+    vm.store_.down_ = true;
+    scripted_watcher watcher(vm.context_, "127.0.30.8:0");
+    watcher.server_.publish_evacuations({"b"});
+    vm.start({watcher.server_.address()});
+    vm.run_until(
+        [&]
+        {
+            return vm.targets_ == 1U;
+        });
+    BOOST_TEST((vm.domains_ == names{"b"}));
+    watcher.server_.publish_evacuations({"b", "c"});
+    vm.run_until(
+        [&]
+        {
+            return vm.domains_ == names{"b", "c"};
+        });
+    watcher.server_.publish_evacuations({});
+    vm.run_until(
+        [&]
+        {
+            return vm.domains_.empty();
+        });
+    BOOST_TEST(vm.store_.evacuations_.lists_ == 0);
+}
+
+// During an update of the VMs, a watcher may run without evacuations.
+BOOST_AUTO_TEST_CASE(a_watcher_without_evacuations_is_not_relied_on)
+{
+    vm_fixture vm;
+    vm.store_.evacuate("b");
+    scripted_watcher watcher(vm.context_, "127.0.30.8:0");
+    vm.start({watcher.server_.address()});
+    vm.run_until(
+        [&]
+        {
+            return vm.targets_ == 1U;
+        });
+    BOOST_TEST((vm.domains_ == names{"b"}));
+    BOOST_TEST(vm.control_->state().watcher_.empty());
+}
+
+// An update that is ignored, because the watcher has lost the store, may be the
+// only one that names an evacuation.
+BOOST_AUTO_TEST_CASE(evacuations_in_an_ignored_update_are_requested_again)
+{
+    vm_fixture vm;
+    vm.store_.down_ = true;
+    scripted_watcher watcher(vm.context_, "127.0.30.8:0");
+    watcher.server_.publish_evacuations({});
+    vm.start({watcher.server_.address()});
+    vm.run_until(
+        [&]
+        {
+            return vm.targets_ == 1U;
+        });
+    watcher.store_response_age_ = milliseconds(5000.0);
+    watcher.server_.publish_evacuations({"b"});
+    vm.run_until(
+        [&]
+        {
+            return vm.control_->state().watcher_.empty();
+        });
+    BOOST_TEST(vm.domains_.empty());
+    watcher.store_response_age_ = milliseconds(5.0);
+    vm.run_until(
+        [&]
+        {
+            return vm.domains_ == names{"b"};
+        });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/av_feed/tests/scripted_store.hpp
+++ b/modules/av_feed/tests/scripted_store.hpp
@@ -29,6 +29,9 @@
     std::function<void(absl::StatusOr<object_changes<Value>>)> pending_watch_;
     int lists_ = 0;
     int watches_ = 0;
+    int checks_ = 0;
+    // Whether no call for the collection is answered.
+    bool silent_ = false;
     // Whether the store has changes that no watch has reported.
     bool has_changes_ = false;
 };
@@ -48,6 +51,10 @@
         result.release_name_ = "main";
         result.releases_ = source(releases_);
         result.targets_ = source(targets_);
+        if (has_evacuations_)
+        {
+            result.evacuations_ = source(evacuations_);
+        }
         result.check_ = [this](milliseconds, auto done)
         {
             ++checks_;
@@ -71,6 +78,12 @@
         targets_.objects_[name] = {name, ++revision_, spec, ""};
     }
 
+    void evacuate(const std::string& domain)
+    {
+        evacuations_.objects_[domain] = {
+            domain, ++revision_, evacuation_spec(), ""};
+    }
+
     void put_release(release_version version)
     {
         release value;
@@ -91,8 +104,11 @@
         }
     }
 
+    // Whether calls() includes those for evacuations.
+    bool has_evacuations_ = false;
     scripted_collection<release> releases_;
     scripted_collection<target_spec> targets_;
+    scripted_collection<evacuation_spec> evacuations_;
     // Watches from an earlier revision fail with platform_history_gone.
     store_revision oldest_revision_ = 0;
     bool down_ = false;
@@ -115,6 +131,10 @@
         result.list_ = [this, &collection](const std::string& after, auto done)
         {
             ++collection.lists_;
+            if (collection.silent_)
+            {
+                return;
+            }
             post_to_context(
                 [this, &collection, after, done]
                 {
@@ -143,6 +163,7 @@
             [this, &collection](store_revision, milliseconds, auto done)
         {
             ++checks_;
+            ++collection.checks_;
             post_to_context(
                 [this, &collection, done]
                 {
--- a/modules/av_settings/tests/settings_test.cpp
+++ b/modules/av_settings/tests/settings_test.cpp
@@ -261,4 +261,33 @@
     BOOST_TEST(found);
 }
 
+BOOST_AUTO_TEST_CASE(evacuations_and_regions_are_read)
+{
+    const auto none = parse_settings(minimal_settings, "vm.yaml");
+    BOOST_TEST_REQUIRE(none.ok(), none.status());
+    BOOST_TEST(!none->platform().evacuations_);
+    BOOST_TEST(none->vm().regions_.empty());
+    auto text = minimal_with(
+        "deployment: hanoi",
+        R"(deployment: hanoi, regions: {"delta-a": "nile-delta", b: c})");
+    text.replace(text.find("platform: {"), 11, "platform: {evacuations: true, ");
+    const auto result = parse_settings(text, "vm.yaml");
+    BOOST_TEST_REQUIRE(result.ok(), result.status());
+    BOOST_TEST(result->platform().evacuations_);
+    BOOST_TEST(result->vm().regions_.size() == 2U);
+    BOOST_TEST(result->vm().regions_.at("delta-a") == "nile-delta");
+    BOOST_TEST((*none != *result));
+}
+
+BOOST_AUTO_TEST_CASE(invalid_regions_are_rejected)
+{
+    for (const char* regions : {"[a]", "text", "{a: }", "{a: [b]}", "{a: {}}"})
+    {
+        check_rejected({minimal_with("deployment: hanoi",
+                                     std::string("deployment: hanoi, regions: ") +
+                                         regions),
+                        {"regions", "allowed: map of at most 256 names"}});
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
