Let a watcher that the store rejects follow another watcher

A watcher that was cut off the store kept its last evacuations, targets and configuration, though its peers knew newer ones.

--- a/modules/av_feed/collection_feed.hpp
+++ b/modules/av_feed/collection_feed.hpp
@@ -335,8 +335,8 @@
     // Results of calls from an earlier generation are ignored.
     int generation_ = 0;
     bool listed_ = false;
-    // Whether a watch is pending, and how many of the last checks in a row found
-    // changes that it has not reported.
+    // Whether a watch is pending, and how many of the last checks in a row
+    // found changes that it has not reported.
     bool watching_ = false;
     int silent_checks_ = 0;
 };
--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -77,9 +77,10 @@
         , options_(std::move(options))
         , release_name_(calls.release_name_)
         , follows_evacuations_(calls.evacuations_.list_ != nullptr)
-        , watchers_(
-              make_watcher_records(options_.watchers_, options_.peer_address_))
-        , is_watcher_(watchers_.empty())
+        , is_watcher_(
+              make_watcher_records(options_.watchers_, options_.peer_address_)
+                  .empty())
+        , watchers_(other_watchers())
         , random_(std::random_device()())
         , watcher_search_timer_(context)
         , store_fallback_timer_(context)
@@ -124,6 +125,7 @@
         if (is_watcher_)
         {
             store_.start();
+            schedule_watcher_search();
             return absl::OkStatus();
         }
         schedule_store_fallback(store_fallback_delay_at_startup);
@@ -174,10 +176,34 @@
         return receives_updates_;
     }
 
+    std::vector<watcher_record> other_watchers() const
+    {
+        auto addresses = options_.watchers_;
+        addresses.erase(std::remove(addresses.begin(),
+                                    addresses.end(),
+                                    options_.peer_address_),
+                        addresses.end());
+        return make_watcher_records(addresses, options_.peer_address_);
+    }
+
+    // Returns whether this VM is a watcher that the store does not answer,
+    // while it may answer others.
+    bool is_cut_off() const
+    {
+        const auto since = std::max(started_at_, store_.answered_at());
+        return monotonic_now() - since > max_store_response_age;
+    }
+
     // Subscribes to the best watcher that has not failed recently. If there is
-    // none, tries again after the search interval.
+    // none, tries again after the search interval. A watcher subscribes to
+    // another one only while it is cut off the store.
     void subscribe_to_watcher()
     {
+        if (is_watcher_ && !is_cut_off())
+        {
+            schedule_watcher_search();
+            return;
+        }
         watcher_ = choose_watcher(watchers_,
                                   options_.failure_domain_,
                                   preferred_watcher(),
@@ -206,7 +232,9 @@
         evacuations_named_ = false;
         auto position = position_;
         position.status_query_only_ = is_status_query_;
-        position.peer_address_ = options_.peer_address_;
+        // A watcher is not to be appointed as a standby.
+        position.peer_address_ =
+            is_watcher_ ? std::string() : options_.peer_address_;
         client_->start(watcher.address_, position);
     }
 
@@ -228,8 +256,7 @@
         const bool is_starting = !last_watcher_ && !store_.is_running();
         if (is_starting)
         {
-            watchers_ = make_watcher_records(options_.watchers_,
-                                             options_.peer_address_);
+            watchers_ = other_watchers();
         }
         watcher_search_timer_.expires_after(
             to_duration(is_starting ? watcher_search_interval_at_startup
@@ -252,6 +279,12 @@
         }
         auto& watcher = watchers_[*watcher_];
         const auto now = monotonic_now();
+        if (is_watcher_ && store_.is_synced())
+        {
+            record_update_loss("the store answers this VM again", now);
+            end_cause_ = subscription_end_cause::abandoned;
+            return false;
+        }
         const bool store_reachable =
             update.store_response_age_ <= max_store_response_age;
         watcher.failure_domain_ = update.failure_domain_;
@@ -313,7 +346,10 @@
         }
         last_watcher_ = watcher_;
         store_fallback_timer_.cancel();
-        store_.stop();
+        if (!is_watcher_)
+        {
+            store_.stop();
+        }
         log_event(log_level::info, "watcher_found")
             .field("address", watchers_[*watcher_].address_)
             .field("failure_domain", update.failure_domain_)
@@ -466,8 +502,9 @@
     const registry_options options_;
     const std::string release_name_;
     const bool follows_evacuations_;
-    std::vector<watcher_record> watchers_;
     const bool is_watcher_;
+    // The watchers other than this VM.
+    std::vector<watcher_record> watchers_;
     // Whether this VM is a standby of its watcher.
     bool is_standby_ = false;
     std::minstd_rand random_;
--- a/modules/av_feed/replica_observer.cpp
+++ b/modules/av_feed/replica_observer.cpp
@@ -37,15 +37,15 @@
         replica.apply_changes(changes, session.target_revision());
     };
     result.on_evacuation_listing_ =
-        [&replica, &session](
-            const std::vector<listed_object<evacuation_spec>>& objects)
+        [&replica,
+         &session](const std::vector<listed_object<evacuation_spec>>& objects)
     {
         replica.apply_evacuation_listing(objects,
                                          session.evacuation_revision());
     };
     result.on_evacuation_changes_ =
-        [&replica, &session](
-            const std::vector<object_change<evacuation_spec>>& changes)
+        [&replica,
+         &session](const std::vector<object_change<evacuation_spec>>& changes)
     {
         replica.apply_evacuation_changes(changes,
                                          session.evacuation_revision());
--- a/modules/av_feed/store_replica.hpp
+++ b/modules/av_feed/store_replica.hpp
@@ -36,8 +36,8 @@
                   registry_handlers handlers,
                   milliseconds target_heartbeat_interval);
 
-    // Passes evacuations on, and holds the targets back until they are known, so
-    // that no call is sent to an evacuated one. Called first, if at all.
+    // Passes evacuations on, and holds the targets back until they are known,
+    // so that no call is sent to an evacuated one. Called first, if at all.
     void follow_evacuations();
 
     // Keeps contents for subscribers from now on, which takes time and memory
--- a/modules/av_feed/tests/evacuations_test.cpp
+++ b/modules/av_feed/tests/evacuations_test.cpp
@@ -33,6 +33,7 @@
 constexpr store_call_intervals test_intervals{
     milliseconds(5.0), milliseconds(5.0), milliseconds(5.0), milliseconds(1.0)};
 constexpr milliseconds no_expiry{1e9};
+constexpr const char* own_address = "127.0.30.10:0";
 
 struct running_context
 {
@@ -98,7 +99,7 @@
         registry_options options;
         options.failure_domain_ = "a";
         options.target_heartbeat_interval_ = no_expiry;
-        options.peer_address_ = "127.0.30.10:0";
+        options.peer_address_ = own_address;
         options.watchers_ = watchers;
         registry_handlers handlers;
         handlers.on_release_ = [](const auto&) {};
@@ -324,4 +325,30 @@
         });
 }
 
+// The store may reject one watcher only, which has no watcher otherwise.
+BOOST_AUTO_TEST_CASE(a_watcher_that_is_cut_off_learns_from_another_one)
+{
+    vm_fixture vm;
+    vm.store_.down_ = true;
+    scripted_watcher other(vm.context_, "127.0.30.8:0");
+    other.server_.publish_evacuations({"b"});
+    vm.start({own_address, other.server_.address()});
+    vm.run_until(
+        [&]
+        {
+            return vm.targets_ == 1U;
+        });
+    BOOST_TEST((vm.domains_ == names{"b"}));
+    BOOST_TEST(vm.control_->state().watcher_ == other.server_.address());
+    vm.store_.evacuate("c");
+    vm.store_.down_ = false;
+    vm.run_until(
+        [&]
+        {
+            return vm.domains_ == names{"c"} &&
+                   vm.control_->state().watcher_.empty() &&
+                   other.server_.subscribers() == 0;
+        });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/av_registry/tests/evacuated_domains_test.cpp
+++ b/modules/av_registry/tests/evacuated_domains_test.cpp
@@ -34,8 +34,8 @@
     auto unreadable = entry("b");
     unreadable.value_.reset();
     unreadable.decode_error_ = "the spec can't be decoded";
-    BOOST_TEST((domains_listed({entry("a"), unreadable}) ==
-                domain_set{"a", "b"}));
+    BOOST_TEST(
+        (domains_listed({entry("a"), unreadable}) == domain_set{"a", "b"}));
 }
 
 // Names are sent to all VMs, so an odd one must not grow the messages.
--- a/modules/av_settings/tests/settings_test.cpp
+++ b/modules/av_settings/tests/settings_test.cpp
@@ -270,7 +270,8 @@
     auto text = minimal_with(
         "deployment: hanoi",
         R"(deployment: hanoi, regions: {"delta-a": "nile-delta", b: c})");
-    text.replace(text.find("platform: {"), 11, "platform: {evacuations: true, ");
+    text.replace(
+        text.find("platform: {"), 11, "platform: {evacuations: true, ");
     const auto result = parse_settings(text, "vm.yaml");
     BOOST_TEST_REQUIRE(result.ok(), result.status());
     BOOST_TEST(result->platform().evacuations_);
@@ -283,10 +284,11 @@
 {
     for (const char* regions : {"[a]", "text", "{a: }", "{a: [b]}", "{a: {}}"})
     {
-        check_rejected({minimal_with("deployment: hanoi",
-                                     std::string("deployment: hanoi, regions: ") +
-                                         regions),
-                        {"regions", "allowed: map of at most 256 names"}});
+        check_rejected(
+            {minimal_with("deployment: hanoi",
+                          std::string("deployment: hanoi, regions: ") +
+                              regions),
+             {"regions", "allowed: map of at most 256 names"}});
     }
 }
 
