--- a/modules/av_daemon/daemon_implementation.hpp
+++ b/modules/av_daemon/daemon_implementation.hpp
@@ -64,7 +64,8 @@
     absl::Status start_registry(const store_adapter& adapter);
 
     // Reports the VM as ready once it has a release and, if targets come
-    // from the store, the targets too.
+    // from the store, the targets too; these are not known before the
+    // evacuations.
     void update_readiness();
     absl::Status start_control();
 
--- a/modules/av_daemon/daemon_sources.cpp
+++ b/modules/av_daemon/daemon_sources.cpp
@@ -6,6 +6,8 @@
 #include <av_release/release_codec.hpp>
 
 #include <map>
+#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -69,6 +71,10 @@
         has_targets_ = true;
         update_readiness();
     };
+    handlers.on_evacuations_ = [this](const std::set<std::string>& domains)
+    {
+        request_path_->publish_evacuations(domains);
+    };
     const auto store = store_options_of(settings_);
     registry_options options;
     options.failure_domain_ = settings_.vm().failure_domain_;
--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -2,6 +2,7 @@
 
 #include <av_core/log_event.hpp>
 #include <av_core/monotonic_clock.hpp>
+#include <av_feed/replica_observer.hpp>
 #include <av_feed/store_replica.hpp>
 #include <av_feed/store_session.hpp>
 #include <av_feed/watcher_fallback.hpp>
@@ -86,6 +87,7 @@
         : context_(context)
         , options_(std::move(options))
         , release_name_(calls.release_name_)
+        , follows_evacuations_(calls.evacuations_.list_ != nullptr)
         , watchers_(
               make_watcher_records(options_.watchers_, options_.peer_address_))
         , is_watcher_(watchers_.empty())
@@ -126,6 +128,11 @@
                   return apply_fallback_update(update);
               })
     {
+        if (follows_evacuations_)
+        {
+            server_.require_evacuations();
+            replica_.follow_evacuations();
+        }
         if (is_watcher_)
         {
             replica_.start_publishing();
@@ -169,37 +176,16 @@
 private:
     store_observer observer()
     {
-        store_observer result;
-        result.on_releases_ =
-            [this](const std::vector<listed_object<release>>& objects)
-        {
-            for (const auto& object : objects)
-            {
-                if (object.name_ == release_name_ && object.value_)
-                {
-                    replica_.apply_release(
-                        std::make_shared<const release>(*object.value_));
-                }
-            }
-        };
+        auto result = replica_observer(replica_, store_, release_name_);
         result.on_target_listing_ =
-            [this](const std::vector<listed_target>& objects)
+            [this, apply = std::move(result.on_target_listing_)](
+                const std::vector<listed_target>& objects)
         {
             // Changes from a watcher can't be applied to this listing, only to
             // a snapshot from the same watcher.
             position_ = {};
             needs_snapshot_ = true;
-            replica_.apply_listing(objects, store_.target_revision());
-        };
-        result.on_target_changes_ =
-            [this](const std::vector<target_change>& changes)
-        {
-            replica_.apply_changes(changes, store_.target_revision());
-        };
-        result.on_answer_ = [this]
-        {
-            fallback_.record_answer();
-            replica_.record_answer(monotonic_now());
+            apply(objects);
         };
         return result;
     }
@@ -244,6 +230,7 @@
                            needs_status_query(watcher, monotonic_now());
         end_cause_ = subscription_end_cause::failed;
         needs_snapshot_ = false;
+        evacuations_named_ = false;
         auto position = position_;
         position.status_query_only_ = is_status_query_;
         position.peer_address_ = options_.peer_address_;
@@ -328,6 +315,12 @@
         {
             return false;
         }
+        // A watcher that does not read the evacuations can't be relied on.
+        evacuations_named_ = evacuations_named_ || update.evacuated_domains_;
+        if (follows_evacuations_ && !evacuations_named_)
+        {
+            return false;
+        }
         if (has_better_watcher(
                 watchers_, *watcher_, options_.failure_domain_, now))
         {
@@ -407,7 +400,8 @@
                                   milliseconds now)
     {
         needs_snapshot_ = needs_snapshot_ || update.is_snapshot_ ||
-                          !update.changes_.empty() || update.release_;
+                          !update.changes_.empty() || update.release_ ||
+                          update.evacuated_domains_;
         record_update_loss("the store does not answer the watcher", now);
         // A standby that left would be replaced by another VM, which would have
         // to read the store anew.
@@ -508,6 +502,7 @@
     const milliseconds started_at_ = monotonic_now();
     const registry_options options_;
     const std::string release_name_;
+    const bool follows_evacuations_;
     std::vector<watcher_record> watchers_;
     const bool is_watcher_;
     // Whether this VM is a standby of its watcher.
@@ -524,6 +519,9 @@
     std::optional<std::size_t> last_watcher_;
     // Whether the current subscription is a status query only.
     bool is_status_query_ = false;
+    // Whether the watcher has named the evacuations since the current
+    // subscription began.
+    bool evacuations_named_ = false;
     // Why the current subscription ends.
     subscription_end_cause end_cause_ = subscription_end_cause::failed;
     // Whether this VM lacks the state that the watcher's changes apply to, so
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -206,6 +206,11 @@
     return account_;
 }
 
+const region_limit& proxied_call::regions() const
+{
+    return regions_;
+}
+
 void proxied_call::set_target_summary(const target_summary& summary)
 {
     target_summary_ = summary;
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -13,6 +13,7 @@
 #include <av_proxy/attempt_observer.hpp>
 #include <av_proxy/caller_link.hpp>
 #include <av_proxy/held_permit.hpp>
+#include <av_proxy/region_limit.hpp>
 #include <av_proxy/routing_table.hpp>
 #include <av_proxy/target_connection.hpp>
 #include <av_routing/target_summary.hpp>
@@ -91,6 +92,8 @@
     const service_entry& service() const;
     // The account on whose behalf the call is made; null if there is none.
     const account_spec* account() const;
+    // The regions in which the call may run.
+    const region_limit& regions() const;
     // Stores the summary of the targets when none was found for the call, for
     // logs.
     void set_target_summary(const target_summary& summary);
@@ -236,6 +239,7 @@
     // load report showed room.
     bool refused_with_room_ = false;
     std::optional<target_summary> target_summary_;
+    region_limit regions_;
     // When room for the refused call is expected, if that is known.
     std::optional<milliseconds> expected_wait_;
     milliseconds attempt_started_at_;
--- a/modules/av_proxy/request_path_settings.hpp
+++ b/modules/av_proxy/request_path_settings.hpp
@@ -9,6 +9,7 @@
 #include <av_quota/fleet_limit.hpp>
 
 #include <cstddef>
+#include <map>
 #include <string>
 #include <tuple>
 
@@ -56,6 +57,9 @@
     // For the permit client of each thread; no grantors if there are no such
     // limits. Not part of the comparison.
     permit_client_options permits_;
+    // The region of each failure domain, for calls that are restricted to
+    // regions. A failure domain that is missing belongs to none.
+    std::map<std::string, std::string> regions_{};
 
     // Returns all members, for comparison.
     auto tie() const
@@ -74,7 +78,8 @@
                         request_timeout_,
                         idle_timeout_,
                         connect_timeout_,
-                        limit_bounds_);
+                        limit_bounds_,
+                        regions_);
     }
 };
 
