--- a/modules/av_proxy/proxied_call_start.cpp
+++ b/modules/av_proxy/proxied_call_start.cpp
@@ -60,6 +60,10 @@
     max_attempts_ = rule_->max_attempts_;
     regions_ = {};
     restrict_to(regions_, rule_->allowed_regions_);
+    if (account_ != nullptr)
+    {
+        restrict_to(regions_, account_->allowed_regions_);
+    }
     work_ = worker_.work_of(*rule_);
     latency_objective_ = rule_->latency_objective_;
     lifecycle_.start(idempotent_);
