--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -198,8 +198,9 @@
 
     std::vector<worker_service_state*> worker_states();
     void apply_cold_permit(const target_entry& target, target_view& view);
-    void request_cold_permit(const service_entry& service,
-                             const proxied_call& call);
+    bool awaits_cold_permit(const service_entry& service,
+                            const proxied_call& call);
+    bool has_cold_target(const service_entry& service) const;
     void on_cold_permit(const std::string& target, const permit_answer& answer);
     void drop_expired_cold_permits();
     bool has_idle_connection(const target_entry& target) const;
--- a/modules/av_proxy/worker_permits.cpp
+++ b/modules/av_proxy/worker_permits.cpp
@@ -5,6 +5,7 @@
 #include <av_core/monotonic_clock.hpp>
 #include <av_proxy/proxied_call.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace anvilturn
@@ -42,35 +43,50 @@
     }
 }
 
-// Requests a permit for the cold target that the policy names, if no other
-// target can take the call.
-void worker::request_cold_permit(const service_entry& service,
-                                 const proxied_call& call)
+// Requests a permit for a cold target if the policy names one, which it does if
+// no other target of this failure domain can take the call. Returns whether the
+// call should wait for the response, so that targets that become cold together
+// don't shift their load to other failure domains.
+bool worker::awaits_cold_permit(const service_entry& service,
+                                const proxied_call& call)
 {
-    if (service.policy_->choose_cold_target_ == nullptr ||
-        !limits_cold_targets(service))
+    if (service.policy_ == nullptr ||
+        service.policy_->choose_cold_target_ == nullptr ||
+        !limits_cold_targets(service) || !has_cold_target(service))
     {
-        return;
+        return false;
     }
+    bool refresh_pending = false;
+    fill_views(service, &call, refresh_pending);
     const auto index =
         service.policy_->choose_cold_target_(input_for(service, &call));
     if (!index)
     {
-        return;
+        return false;
     }
-    const auto& name = service.targets_[*index].spec_.name_;
-    auto& permit = cold_permits_[name];
-    if (std::exchange(permit.requested_, true))
+    const auto name = service.targets_[*index].spec_.name_;
+    if (std::exchange(cold_permits_[name].requested_, true))
     {
-        return;
+        return true;
     }
     permits_->acquire(
         {limit_kind::cold_target, name},
-        [this, name, service = service.state_](const permit_answer& answer)
+        [this, name, state = service.state_](const permit_answer& answer)
         {
             on_cold_permit(name, answer);
-            post_dispatch_waiting(service);
+            post_dispatch_waiting(state);
         });
+    return cold_permits_[name].requested_;
+}
+
+bool worker::has_cold_target(const service_entry& service) const
+{
+    return std::any_of(service.targets_.begin(),
+                       service.targets_.end(),
+                       [this](const target_entry& target)
+                       {
+                           return is_cold(*target.state_, cached_now_);
+                       });
 }
 
 void worker::on_cold_permit(const std::string& target,
--- a/modules/av_proxy/worker_queue.cpp
+++ b/modules/av_proxy/worker_queue.cpp
@@ -296,17 +296,14 @@
             current_table->find_service(worker_state.state_->name_);
         const auto head = *worker_state.queue_.peek();
         const target_entry* chosen = nullptr;
-        const auto result = service == nullptr
-                                ? choice_result::none
+        const auto result = service == nullptr ? choice_result::none
+                            : awaits_cold_permit(*service, *head)
+                                ? choice_result::wait
                                 : choose(*service, head.get(), chosen);
         if (result == choice_result::wait)
         {
             const bool queried =
                 send_load_queries(*service, worker_state, *head);
-            if (!queried)
-            {
-                request_cold_permit(*service, *head);
-            }
             schedule_waiting_poll(queried ? load_query_poll_interval
                                           : poll_interval);
             return;
