Go on with the own call after waiting for the configuration

Cause: proxied_call::resume calls prepare_call. If that refuses the call, its connection reads on at once, and the same object may already serve the third request behind it. resume took that for its own call and routed it a second time, which ended in a null target. Fix: prepare_call returns whether its own call continues.

--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -117,7 +117,7 @@
 
     void reset(milliseconds arrived_at);
     void assign_call_id();
-    void prepare_call();
+    bool prepare_call();
     bool await_configuration();
     std::optional<error_kind> find_service();
     bool lacks_configuration() const;
--- a/modules/av_proxy/proxied_call_start.cpp
+++ b/modules/av_proxy/proxied_call_start.cpp
@@ -45,7 +45,9 @@
     prepare_call();
 }
 
-void proxied_call::prepare_call()
+// Returns whether the call continues. If not, this object may already serve the
+// next request of the connection.
+bool proxied_call::prepare_call()
 {
     if (const auto refusal = find_service())
     {
@@ -53,7 +55,7 @@
         {
             refuse(*refusal);
         }
-        return;
+        return false;
     }
     const auto& head = *head_;
     idempotent_ = rule_->idempotent_;
@@ -72,6 +74,7 @@
         link_.output().append("HTTP/1.1 100 Continue\r\n\r\n");
         link_.flush();
     }
+    return active_; // The flush may have shown that the caller has gone.
 }
 
 // Keeps the call pending until this VM has its configuration. Returns false if
@@ -113,9 +116,9 @@
     }
     awaits_configuration_ = false;
     deadline_ = started_at_ + worker_.core().settings_.request_timeout_;
-    prepare_call();
+    const bool continues = prepare_call();
     link_.update_timer();
-    if (active_ && (request_complete_ || !wants_body()))
+    if (continues && (request_complete_ || !wants_body()))
     {
         route_call();
     }
--- a/modules/av_proxy/tests/pipelining_test.cpp
+++ b/modules/av_proxy/tests/pipelining_test.cpp
@@ -316,6 +316,40 @@
     BOOST_TEST(statistics.unknown_ == 0U);
 }
 
+// A VM that has just started refuses the first request once it has its
+// configuration, and the object of that call serves the third request at once.
+// A VM that went on with the first call routed the third one twice, and
+// crashed.
+BOOST_AUTO_TEST_CASE(requests_behind_a_refused_one_run_once_at_startup)
+{
+    scripted_target target;
+    relay vm{release()};
+    vm.path().set_ready(false);
+    auto caller = vm.call();
+    caller.send(get("/unknown") + look_up("a") + look_up("b"));
+    wait_until(
+        [&vm]
+        {
+            return vm.path().statistics().calls_in_flight_ == 1;
+        });
+    // Once this is answered, the VM has read all three requests.
+    auto other = vm.call();
+    other.send(get("/.anvilturn/ready"));
+    BOOST_TEST(contains(other.read_header(), "HTTP/1.1 503 "));
+    vm.path().publish(make_release({target.address()}));
+    vm.path().set_ready(true);
+    BOOST_TEST(read_local_response(caller) == "not-run service_unknown");
+    auto running = accept_requests(target, 2);
+    BOOST_TEST_REQUIRE(running.count("a") == 1U);
+    BOOST_TEST_REQUIRE(running.count("b") == 1U);
+    running.at("b")->send(ok("second"));
+    running.at("a")->send(ok("first"));
+    expect_body(caller, "first");
+    expect_body(caller, "second");
+    BOOST_TEST(!target.has_pending_connection());
+    BOOST_TEST(vm.path().statistics().answered_ == 2U);
+}
+
 // What waits for an earlier response takes memory, so the VM stops reading a
 // later response that is large, and begins no further requests behind it.
 BOOST_AUTO_TEST_CASE(a_large_response_that_waits_is_read_only_in_part)
