Keep load queries and calls on connections of their own

Cause: the response to a load query has no call id, and its connection went back to the pool for calls, so a late copy was taken for the response to a call. Fix: each connection serves calls or load queries only. Where targets repeat the call id, a connection is closed after a response without one, since a late copy of it can't be recognized either.

load_is_queried_before_a_call_is_sent expected the call on the connection of the query, which was the fault; it now expects it on another one.

Test a_late_copy_of_a_load_response_reaches_no_call: with the pools shared again, 503 reaches the caller; a_connection_is_not_reused_after_a_response_without_id: without the check, the next call is sent on the old connection.

--- a/modules/av_proxy/load_query_sender.cpp
+++ b/modules/av_proxy/load_query_sender.cpp
@@ -47,7 +47,8 @@
 
     void start(const target_entry& target)
     {
-        connection_ = owner_.worker_.connect(target);
+        connection_ =
+            owner_.worker_.connect(target, connection_use::load_queries);
         connection_->begin(*this, false, {});
     }
 
--- a/modules/av_proxy/target_connection.cpp
+++ b/modules/av_proxy/target_connection.cpp
@@ -25,10 +25,21 @@
 
 } // namespace
 
+void target_pool::close_idle(connection_use use)
+{
+    const auto connections = std::exchange(idle(use), {});
+    for (const auto& connection : connections)
+    {
+        connection->close();
+    }
+}
+
 target_connection::target_connection(worker& owner,
-                                     std::shared_ptr<target_pool> pool)
+                                     std::shared_ptr<target_pool> pool,
+                                     connection_use use)
     : worker_(owner)
     , pool_(std::move(pool))
+    , use_(use)
     , socket_(owner.context())
     , reader_(owner.core().settings_.limits_, owner.core().settings_.dialect_)
 {
@@ -161,7 +172,7 @@
         close();
         return;
     }
-    pool_->idle_.push_back(shared_from_this());
+    pool_->idle(use_).push_back(shared_from_this());
     wait_readable();
 }
 
@@ -396,6 +407,15 @@
            !id.empty() && id != call_id_;
 }
 
+// Returns whether a second copy of the response can be told from the response
+// to the next call on this connection.
+bool target_connection::is_late_copy_recognizable() const
+{
+    return use_ == connection_use::load_queries ||
+           !worker_.core().settings_.dialect_.responses_repeat_call_id_ ||
+           !reader_.head().call_id_.empty();
+}
+
 // Skips a response to another call and prepares to read the next one.
 void target_connection::skip_response()
 {
@@ -413,7 +433,8 @@
 {
     const bool reusable = !has_surplus_input && request_complete_ &&
                           output_.unsent_bytes() == 0 &&
-                          reader_.head().keep_alive_;
+                          reader_.head().keep_alive_ &&
+                          is_late_copy_recognizable();
     auto* const observer = std::exchange(observer_, nullptr);
     if (observer != nullptr)
     {
@@ -443,7 +464,7 @@
 
 void target_connection::remove_from_pool()
 {
-    auto& idle = pool_->idle_;
+    auto& idle = pool_->idle(use_);
     idle.erase(std::remove(idle.begin(), idle.end(), shared_from_this()),
                idle.end());
 }
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -163,7 +163,9 @@
     void on_load_query_ended(const std::string& service);
 
     // Returns an idle connection to the target, or a new one. Never null.
-    std::shared_ptr<target_connection> connect(const target_entry& target);
+    std::shared_ptr<target_connection>
+    connect(const target_entry& target,
+            connection_use use = connection_use::calls);
 
 private:
     enum class choice_result
--- a/modules/av_proxy/worker_maintenance.cpp
+++ b/modules/av_proxy/worker_maintenance.cpp
@@ -63,7 +63,6 @@
         cached_now_ - core_.settings_.idle_timeout_ * pool_idle_timeout_factor;
     for (const auto& entry : pools_)
     {
-        auto& idle = entry.second->idle_;
         const double target_limit =
             entry.second->state_->idle_limit_ms_.load(relaxed);
         const auto oldest =
@@ -72,18 +71,22 @@
                            cached_now_ - milliseconds(target_limit) *
                                              target_idle_limit_factor)
                 : limit;
-        const auto kept = std::find_if(
-            idle.begin(),
-            idle.end(),
-            [oldest](const std::shared_ptr<target_connection>& connection)
-            {
-                return connection->became_idle_at() > oldest;
-            });
-        for (auto it = idle.begin(); it != kept; ++it)
+        for (auto* const idle :
+             {&entry.second->idle_, &entry.second->idle_for_queries_})
         {
-            (*it)->close();
+            const auto kept = std::find_if(
+                idle->begin(),
+                idle->end(),
+                [oldest](const std::shared_ptr<target_connection>& connection)
+                {
+                    return connection->became_idle_at() > oldest;
+                });
+            for (auto it = idle->begin(); it != kept; ++it)
+            {
+                (*it)->close();
+            }
+            idle->erase(idle->begin(), kept);
         }
-        idle.erase(idle.begin(), kept);
     }
 }
 
@@ -159,11 +162,8 @@
             continue;
         }
         here->second->withdrawn_ = true;
-        const auto idle = std::move(here->second->idle_);
-        for (const auto& connection : idle)
-        {
-            connection->close();
-        }
+        here->second->close_idle(connection_use::calls);
+        here->second->close_idle(connection_use::load_queries);
         pools_.erase(here);
     }
 }
