Don't take the end of a skipped response for that of the call

Cause: at the end of a connection on_readable completed the response being read, even if it belonged to another call and was being skipped. The waiting call was counted as answered and its caller got nothing. Fix: a skipped response completes no call; the call ends with target_answer_lost, or is retried if it is idempotent.

--- a/modules/av_proxy/target_connection.cpp
+++ b/modules/av_proxy/target_connection.cpp
@@ -289,7 +289,8 @@
     // A failed write takes the socket's error, and the end of a connection that
     // was reset then looks like an orderly one.
     const bool ended_in_order = error == asio::error::eof && !write_failed_;
-    if (ended_in_order && header_delivered_ && reader_.finish())
+    if (ended_in_order && header_delivered_ && !skipping_response_ &&
+        reader_.finish())
     {
         end_response(false);
         return;
--- a/modules/av_proxy/tests/platform_rules_test.cpp
+++ b/modules/av_proxy/tests/platform_rules_test.cpp
@@ -363,4 +363,24 @@
     BOOST_TEST(status_line_of(caller.read_header()) == "HTTP/1.1 200 OK");
 }
 
+// The end of the other call's response was taken for the end of this call's,
+// whose caller then got nothing at all.
+BOOST_AUTO_TEST_CASE(
+    a_stray_response_that_ends_with_its_connection_ends_no_call)
+{
+    scripted_target target;
+    relay vm(make_release({target.address()}), custom_dialect_settings());
+    auto caller = vm.call();
+    caller.send(request("/kits", "one"));
+    auto connection = target.accept();
+    connection.read_header();
+    connection.send("HTTP/1.1 200 OK\r\nX-Call: zero\r\nX-Signed: 1\r\n\r\n"
+                    "of an earlier call");
+    connection.close();
+    const auto header = caller.read_header();
+    BOOST_TEST(status_line_of(header) == "HTTP/1.1 502 Bad Gateway");
+    BOOST_TEST(outcome_of(header) == "unknown target_answer_lost");
+    BOOST_TEST(vm.path().statistics().answered_ == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
