Respond 504 if a body that was passed on pauses for too long

Cause: unknown_outcome_reason replaced only reasons with status 503, so 408 was left for a call that may have run. Fix: no reason with status 408, 421, 429 or 503 is left for such a call; 408 becomes deadline_exceeded (504), the others target_answer_lost (502).

--- a/modules/av_proxy/response_status.cpp
+++ b/modules/av_proxy/response_status.cpp
@@ -47,8 +47,18 @@
 error_kind unknown_outcome_reason(error_kind cause)
 {
     // A request that proved invalid while it was streamed keeps its reason.
-    // Causes with status 503 say nothing about the attempt that may have run.
-    return status_of(cause) == 503 ? error_kind::target_answer_lost : cause;
+    // Statuses 408, 421, 429 and 503 promise that the call has not run.
+    switch (status_of(cause))
+    {
+    case 408:
+        return error_kind::deadline_exceeded;
+    case 421:
+    case 429:
+    case 503:
+        return error_kind::target_answer_lost;
+    default:
+        return cause;
+    }
 }
 
 bool is_target_failure(error_kind cause)
--- a/modules/av_proxy/tests/relay_test.cpp
+++ b/modules/av_proxy/tests/relay_test.cpp
@@ -305,6 +305,27 @@
     BOOST_TEST(connection.read_to_end() == "12345678\r\n");
 }
 
+// Status 408 would tell the caller that the call has not run, and that it may
+// be sent again.
+BOOST_AUTO_TEST_CASE(a_pause_in_a_body_that_is_streamed_gives_outcome_unknown)
+{
+    scripted_target target;
+    auto settings = single_thread_settings();
+    settings.buffered_body_bytes_ = 4;
+    settings.request_timeout_ = milliseconds(100.0);
+    relay vm(make_release({target.address()}), settings);
+    auto caller = vm.call();
+    caller.send("POST /kits HTTP/1.1\r\nHost: h\r\nContent-Length: 16"
+                "\r\n\r\n12345678");
+    auto connection = target.accept();
+    connection.read_header();
+    BOOST_TEST(connection.read_bytes(8) == "12345678");
+    const auto header = caller.read_header();
+    BOOST_TEST(contains(header, "HTTP/1.1 504 "));
+    BOOST_TEST(outcome_of(header) == "unknown deadline_exceeded");
+    BOOST_TEST(connection.read_to_end() == "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(home_dispatch)
--- a/modules/av_proxy/tests/routing_table_test.cpp
+++ b/modules/av_proxy/tests/routing_table_test.cpp
@@ -288,7 +288,7 @@
 }
 
 // A call that did not run never gets a status that means "unknown" (502 or
-// 504), and a call that may have run never gets 503.
+// 504), and a call that may have run never gets one that promises the opposite.
 BOOST_AUTO_TEST_CASE(status_code_matches_the_outcome)
 {
     for (const auto& entry : error_catalogue())
@@ -297,7 +297,11 @@
         {
             const int not_run = status_of(not_run_reason(entry.kind_));
             BOOST_TEST((not_run != 502 && not_run != 504));
-            BOOST_TEST(status_of(unknown_outcome_reason(entry.kind_)) != 503);
+            const int unknown = status_of(unknown_outcome_reason(entry.kind_));
+            for (const int promise : {408, 421, 429, 503})
+            {
+                BOOST_TEST(unknown != promise);
+            }
         }
     }
 }
