Never wait for the reader of the log

Cause: a pipe with a free page counts as writable, and the sink then wrote a line of any length to it in blocking mode. Fix: values in log lines are shortened, so that a line is at most 4,096 bytes, which a pipe takes at once or not at all. Lines that don't fit are dropped whole and counted, and the next line that fits is preceded by their number (log_lines_dropped).

--- a/modules/av_core/log_event.cpp
+++ b/modules/av_core/log_event.cpp
@@ -1,11 +1,11 @@
 #include <av_core/log_event.hpp>
 
+#include <av_core/line_output.hpp>
 #include <av_core/log_rate_limiter.hpp>
 #include <av_core/monotonic_clock.hpp>
 
 #include <easylogging++.h>
 
-#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -26,16 +26,30 @@
 std::mutex limiter_mutex;
 log_rate_limiter limiter;
 
-// Returns whether a line can be written to the pipe without waiting for its
-// reader.
-bool is_writable(int descriptor)
+// Most bytes of one value, and of all fields of a line. With the name of the
+// process, the time and the keys a line stays below max_line_bytes.
+constexpr std::size_t max_value_bytes = 2048;
+constexpr std::size_t max_text_bytes = 3300;
+constexpr std::string_view cut_mark = "...";
+
+// Name of this process, which each line contains.
+std::string process_name_in_lines;
+
+std::string format_line(std::string_view level, std::string_view text)
 {
-    pollfd waiting{descriptor, POLLOUT, 0};
-    return ::poll(&waiting, 1, 0) > 0 && (waiting.revents & POLLOUT) != 0;
+    char buffer[32];
+    const int size =
+        std::snprintf(buffer, sizeof buffer, "%.3f", wall_clock_now().count());
+    std::string line = "time_ms=";
+    line.append(buffer, static_cast<std::size_t>(size));
+    line.append(" level=").append(level);
+    line.append(" ").append(text);
+    return line;
 }
 
-// Writes lines to standard output. Drops lines when the reader of the output
-// does not keep up, so that logging never blocks.
+// Writes lines to standard output. Drops whole lines when the reader of the
+// output does not keep up, so that logging never blocks, and logs their number
+// once there is room again.
 class standard_output_sink : public el::LogDispatchCallback
 {
 protected:
@@ -43,26 +57,36 @@
     {
         const auto* const message = data->logMessage();
         const auto line = message->logger()->logBuilder()->build(message, true);
-        const bool written =
-            is_writable(STDOUT_FILENO) &&
-            ::write(STDOUT_FILENO, line.data(), line.size()) >= 0;
-        if (!written)
+        const std::lock_guard<std::mutex> lock(mutex_);
+        // In one write, so that notices don't use up the room for lines.
+        if (output_.write(unreported_ > 0 ? format_notice() + line : line))
         {
-            dropped_line_count.fetch_add(1, std::memory_order_relaxed);
+            unreported_ = 0;
+            return;
         }
+        ++unreported_;
+        dropped_line_count.fetch_add(1, std::memory_order_relaxed);
     }
+
+private:
+    std::string format_notice() const
+    {
+        return "process=" + process_name_in_lines + " " +
+               format_line("warning",
+                           "event=log_lines_dropped count=" +
+                               std::to_string(unreported_)) +
+               "\n";
+    }
+
+    std::mutex mutex_;
+    line_output output_{STDOUT_FILENO};
+    // Lines dropped since the last notice.
+    std::uint64_t unreported_ = 0;
 };
 
 void log_line(std::string_view level, std::string_view text)
 {
-    char buffer[32];
-    const int size =
-        std::snprintf(buffer, sizeof buffer, "%.3f", wall_clock_now().count());
-    std::string line = "time_ms=";
-    line.append(buffer, static_cast<std::size_t>(size));
-    line.append(" level=").append(level);
-    line.append(" ").append(text);
-    LOG(INFO) << line;
+    LOG(INFO) << format_line(level, text);
 }
 
 // Returns whether the line may be written, and logs how many lines of one event
@@ -112,11 +136,23 @@
                                         });
 }
 
-void append_quoted(std::string& text, std::string_view value)
+// Returns whether the byte begins a character in UTF-8.
+bool begins_character(char byte)
 {
+    return (static_cast<unsigned char>(byte) & 0xc0U) != 0x80U;
+}
+
+void append_quoted(std::string& text, std::string_view value, std::size_t limit)
+{
+    const auto start = text.size();
     text += '"';
     for (const char c : value)
     {
+        if (text.size() - start > limit && begins_character(c))
+        {
+            text += cut_mark;
+            break;
+        }
         if (c == '"' || c == '\\')
         {
             text += '\\';
@@ -159,13 +195,23 @@
     }
     text_ += key;
     text_ += '=';
+    const auto limit =
+        std::min(max_value_bytes,
+                 max_text_bytes - std::min(max_text_bytes, text_.size()));
     if (needs_quotes(value))
     {
-        append_quoted(text_, value);
+        append_quoted(text_, value, limit);
+        return *this;
+    }
+    auto size = std::min(limit, value.size());
+    while (size < value.size() && size > 0 && !begins_character(value[size]))
+    {
+        --size;
     }
-    else
+    text_ += value.substr(0, size);
+    if (size < value.size())
     {
-        text_ += value;
+        text_ += cut_mark;
     }
     return *this;
 }
@@ -232,6 +278,7 @@
     std::replace(name.begin(), name.end(), '%', '_');
     el::Configurations configuration;
     configuration.setToDefault();
+    process_name_in_lines = name;
     configuration.setGlobally(el::ConfigurationType::ToFile, "false");
     configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
     configuration.setGlobally(el::ConfigurationType::Format,
--- a/modules/av_core/log_event.hpp
+++ b/modules/av_core/log_event.hpp
@@ -23,7 +23,7 @@
 // when the reader of the output does not keep up or the rate exceeds the limits
 // of log_rate_limiter. Values that are empty or contain spaces, quotes, equals
 // signs or control characters are quoted and escaped, so that an event is
-// always a single line.
+// always a single line. Long values are shortened and end with "...".
 class log_event
 {
 public:
