Share connections between load queries and calls again, and skip late copies

Separate connections for load queries would double the connections of VMs with few calls, each of which may occupy a slot of the target. A late copy of the response to a load query is recognized instead: targets repeat the call id in every response to a call that they have not refused, so on a connection that has served a load query a response without one, which is no refusal, is not for the call.

--- a/modules/av_proxy/load_query_sender.cpp
+++ b/modules/av_proxy/load_query_sender.cpp
@@ -47,8 +47,7 @@
 
     void start(const target_entry& target)
     {
-        connection_ =
-            owner_.worker_.connect(target, connection_use::load_queries);
+        connection_ = owner_.worker_.connect(target);
         connection_->begin(*this, false, {});
     }
 
--- a/modules/av_proxy/target_connection.cpp
+++ b/modules/av_proxy/target_connection.cpp
@@ -23,23 +23,20 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-} // namespace
+constexpr int misdirected_status = 421;
 
-void target_pool::close_idle(connection_use use)
+// Returns whether the target says that it has not run the request.
+bool is_refusal(const response_head& head)
 {
-    const auto connections = std::exchange(idle(use), {});
-    for (const auto& connection : connections)
-    {
-        connection->close();
-    }
+    return head.not_run_ || head.status_ == misdirected_status;
 }
 
+} // namespace
+
 target_connection::target_connection(worker& owner,
-                                     std::shared_ptr<target_pool> pool,
-                                     connection_use use)
+                                     std::shared_ptr<target_pool> pool)
     : worker_(owner)
     , pool_(std::move(pool))
-    , use_(use)
     , socket_(owner.context())
     , reader_(owner.core().settings_.limits_, owner.core().settings_.dialect_)
 {
@@ -172,7 +169,7 @@
         close();
         return;
     }
-    pool_->idle(use_).push_back(shared_from_this());
+    pool_->idle_.push_back(shared_from_this());
     wait_readable();
 }
 
@@ -403,18 +400,27 @@
 // responds to an earlier call twice.
 bool target_connection::is_for_other_call() const
 {
-    const auto& id = reader_.head().call_id_;
-    return worker_.core().settings_.dialect_.responses_repeat_call_id_ &&
-           !id.empty() && id != call_id_;
+    const auto& head = reader_.head();
+    if (!worker_.core().settings_.dialect_.responses_repeat_call_id_)
+    {
+        return false;
+    }
+    if (!head.call_id_.empty())
+    {
+        return head.call_id_ != call_id_;
+    }
+    // It may be a late copy of the response to a load query, which has no id.
+    // The response to a call lacks it only if the target refused the call.
+    return served_load_query_ && !call_id_.empty() && !is_refusal(head);
 }
 
 // Returns whether a second copy of the response can be told from the response
 // to the next call on this connection.
 bool target_connection::is_late_copy_recognizable() const
 {
-    return use_ == connection_use::load_queries ||
-           !worker_.core().settings_.dialect_.responses_repeat_call_id_ ||
-           !reader_.head().call_id_.empty();
+    const auto& head = reader_.head();
+    return !worker_.core().settings_.dialect_.responses_repeat_call_id_ ||
+           !head.call_id_.empty() || (call_id_.empty() && !is_refusal(head));
 }
 
 // Skips a response to another call and prepares to read the next one.
@@ -436,6 +442,7 @@
                           output_.unsent_bytes() == 0 &&
                           reader_.head().keep_alive_ &&
                           is_late_copy_recognizable();
+    served_load_query_ = served_load_query_ || call_id_.empty();
     auto* const observer = std::exchange(observer_, nullptr);
     if (observer != nullptr)
     {
@@ -465,7 +472,7 @@
 
 void target_connection::remove_from_pool()
 {
-    auto& idle = pool_->idle(use_);
+    auto& idle = pool_->idle_;
     idle.erase(std::remove(idle.begin(), idle.end(), shared_from_this()),
                idle.end());
 }
--- a/modules/av_proxy/target_connection.hpp
+++ b/modules/av_proxy/target_connection.hpp
@@ -22,14 +22,6 @@
 class target_connection;
 class worker;
 
-// The response to a load query has no call id, so a late copy of it can't be
-// told from the response to a call. Connections therefore serve only one use.
-enum class connection_use
-{
-    calls,
-    load_queries
-};
-
 // The connection pool of one thread for one target.
 struct target_pool
 {
@@ -40,15 +32,6 @@
     bool withdrawn_ = false;
     // Idle connections, the most recently used one last.
     std::vector<std::shared_ptr<target_connection>> idle_;
-    std::vector<std::shared_ptr<target_connection>> idle_for_queries_;
-
-    std::vector<std::shared_ptr<target_connection>>& idle(connection_use use)
-    {
-        return use == connection_use::calls ? idle_ : idle_for_queries_;
-    }
-
-    // Closes all idle connections of the use.
-    void close_idle(connection_use use);
 };
 
 // One connection to a target or to another VM. It serves one attempt at a time,
@@ -57,9 +40,7 @@
 class target_connection : public std::enable_shared_from_this<target_connection>
 {
 public:
-    target_connection(worker& owner,
-                      std::shared_ptr<target_pool> pool,
-                      connection_use use);
+    target_connection(worker& owner, std::shared_ptr<target_pool> pool);
     ~target_connection();
     target_connection(const target_connection&) = delete;
     target_connection& operator=(const target_connection&) = delete;
@@ -122,7 +103,6 @@
 
     worker& worker_;
     std::shared_ptr<target_pool> pool_;
-    connection_use use_;
     boost::asio::ip::tcp::socket socket_;
     response_reader reader_;
     output_buffer output_;
@@ -131,6 +111,8 @@
     attempt_observer* observer_ = nullptr;
     std::string call_id_;
     bool is_head_request_ = false;
+    // Whether this connection has served a load query.
+    bool served_load_query_ = false;
     // Whether a response to another call is being skipped.
     bool skipping_response_ = false;
     // Responses to other calls since the attempt began, and their bytes.
--- a/modules/av_proxy/worker.cpp
+++ b/modules/av_proxy/worker.cpp
@@ -272,18 +272,16 @@
     counters_.connections_.fetch_sub(1, relaxed);
 }
 
-std::shared_ptr<target_connection> worker::connect(const target_entry& target,
-                                                   connection_use use)
+std::shared_ptr<target_connection> worker::connect(const target_entry& target)
 {
     const auto pool = pool_of(target);
     const auto idle_limit =
         milliseconds(target.state_->idle_limit_ms_.load(relaxed)) *
         target_idle_limit_factor;
-    auto& idle = pool->idle(use);
-    while (!idle.empty())
+    while (!pool->idle_.empty())
     {
-        const auto connection = std::move(idle.back());
-        idle.pop_back();
+        const auto connection = std::move(pool->idle_.back());
+        pool->idle_.pop_back();
         const bool too_old =
             idle_limit.count() > 0.0 &&
             cached_now_ - connection->became_idle_at() > idle_limit;
@@ -293,13 +291,7 @@
         }
         connection->close();
     }
-    if (pool->open_ >= target.connections_per_thread_)
-    {
-        pool->close_idle(use == connection_use::calls
-                             ? connection_use::load_queries
-                             : connection_use::calls);
-    }
-    return std::make_shared<target_connection>(*this, pool, use);
+    return std::make_shared<target_connection>(*this, pool);
 }
 
 void worker::accept(tcp::acceptor& acceptor, bool for_vms)
@@ -428,8 +420,11 @@
     }
     for (const auto& pool : pools_)
     {
-        pool.second->close_idle(connection_use::calls);
-        pool.second->close_idle(connection_use::load_queries);
+        const auto idle = std::move(pool.second->idle_);
+        for (const auto& connection : idle)
+        {
+            connection->close();
+        }
     }
 }
 
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -163,9 +163,7 @@
     void on_load_query_ended(const std::string& service);
 
     // Returns an idle connection to the target, or a new one. Never null.
-    std::shared_ptr<target_connection>
-    connect(const target_entry& target,
-            connection_use use = connection_use::calls);
+    std::shared_ptr<target_connection> connect(const target_entry& target);
 
 private:
     enum class choice_result
--- a/modules/av_proxy/worker_choice.cpp
+++ b/modules/av_proxy/worker_choice.cpp
@@ -228,7 +228,6 @@
     const auto pool = pools_.find(target.state_.get());
     const bool connection_share_used =
         pool != pools_.end() && pool->second->idle_.empty() &&
-        pool->second->idle_for_queries_.empty() &&
         pool->second->open_ >= target.connections_per_thread_;
     return connection_share_used ? 0 : limit;
 }
--- a/modules/av_proxy/worker_maintenance.cpp
+++ b/modules/av_proxy/worker_maintenance.cpp
@@ -63,6 +63,7 @@
         cached_now_ - core_.settings_.idle_timeout_ * pool_idle_timeout_factor;
     for (const auto& entry : pools_)
     {
+        auto& idle = entry.second->idle_;
         const double target_limit =
             entry.second->state_->idle_limit_ms_.load(relaxed);
         const auto oldest =
@@ -71,22 +72,18 @@
                            cached_now_ - milliseconds(target_limit) *
                                              target_idle_limit_factor)
                 : limit;
-        for (auto* const idle :
-             {&entry.second->idle_, &entry.second->idle_for_queries_})
-        {
-            const auto kept = std::find_if(
-                idle->begin(),
-                idle->end(),
-                [oldest](const std::shared_ptr<target_connection>& connection)
-                {
-                    return connection->became_idle_at() > oldest;
-                });
-            for (auto it = idle->begin(); it != kept; ++it)
+        const auto kept = std::find_if(
+            idle.begin(),
+            idle.end(),
+            [oldest](const std::shared_ptr<target_connection>& connection)
             {
-                (*it)->close();
-            }
-            idle->erase(idle->begin(), kept);
+                return connection->became_idle_at() > oldest;
+            });
+        for (auto it = idle.begin(); it != kept; ++it)
+        {
+            (*it)->close();
         }
+        idle.erase(idle.begin(), kept);
     }
 }
 
@@ -162,8 +159,11 @@
             continue;
         }
         here->second->withdrawn_ = true;
-        here->second->close_idle(connection_use::calls);
-        here->second->close_idle(connection_use::load_queries);
+        const auto idle = std::move(here->second->idle_);
+        for (const auto& connection : idle)
+        {
+            connection->close();
+        }
         pools_.erase(here);
     }
 }
