--- a/modules/av_proxy/target_connection.cpp
+++ b/modules/av_proxy/target_connection.cpp
@@ -23,6 +23,14 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
+constexpr int misdirected_status = 421;
+
+// Returns whether the target says that it has not run the request.
+bool is_refusal(const response_head& head)
+{
+    return head.not_run_ || head.status_ == misdirected_status;
+}
+
 } // namespace
 
 target_connection::target_connection(worker& owner,
@@ -278,7 +286,8 @@
     // A failed write takes the socket's error, and the end of a connection that
     // was reset then looks like an orderly one.
     const bool ended_in_order = error == asio::error::eof && !write_failed_;
-    if (ended_in_order && header_delivered_ && reader_.finish())
+    if (ended_in_order && header_delivered_ && !skipping_response_ &&
+        reader_.finish())
     {
         end_response(false);
         return;
@@ -391,9 +400,27 @@
 // responds to an earlier call twice.
 bool target_connection::is_for_other_call() const
 {
-    const auto& id = reader_.head().call_id_;
-    return worker_.core().settings_.dialect_.responses_repeat_call_id_ &&
-           !id.empty() && id != call_id_;
+    const auto& head = reader_.head();
+    if (!worker_.core().settings_.dialect_.responses_repeat_call_id_)
+    {
+        return false;
+    }
+    if (!head.call_id_.empty())
+    {
+        return head.call_id_ != call_id_;
+    }
+    // It may be a late copy of the response to a load query, which has no id.
+    // The response to a call lacks it only if the target refused the call.
+    return served_load_query_ && !call_id_.empty() && !is_refusal(head);
+}
+
+// Returns whether a second copy of the response can be told from the response
+// to the next call on this connection.
+bool target_connection::is_late_copy_recognizable() const
+{
+    const auto& head = reader_.head();
+    return !worker_.core().settings_.dialect_.responses_repeat_call_id_ ||
+           !head.call_id_.empty() || (call_id_.empty() && !is_refusal(head));
 }
 
 // Skips a response to another call and prepares to read the next one.
@@ -413,7 +440,9 @@
 {
     const bool reusable = !has_surplus_input && request_complete_ &&
                           output_.unsent_bytes() == 0 &&
-                          reader_.head().keep_alive_;
+                          reader_.head().keep_alive_ &&
+                          is_late_copy_recognizable();
+    served_load_query_ = served_load_query_ || call_id_.empty();
     auto* const observer = std::exchange(observer_, nullptr);
     if (observer != nullptr)
     {
--- a/modules/av_proxy/target_connection.hpp
+++ b/modules/av_proxy/target_connection.hpp
@@ -94,6 +94,7 @@
     void wait_writable();
     void process(std::string_view input);
     bool is_for_other_call() const;
+    bool is_late_copy_recognizable() const;
     void skip_response();
     std::size_t read_message(std::string_view input, bool& complete);
     void end_response(bool has_surplus_input);
@@ -110,6 +111,8 @@
     attempt_observer* observer_ = nullptr;
     std::string call_id_;
     bool is_head_request_ = false;
+    // Whether this connection has served a load query.
+    bool served_load_query_ = false;
     // Whether a response to another call is being skipped.
     bool skipping_response_ = false;
     // Responses to other calls since the attempt began, and their bytes.
--- a/modules/av_proxy/tests/platform_rules_test.cpp
+++ b/modules/av_proxy/tests/platform_rules_test.cpp
@@ -15,6 +15,16 @@
     return value;
 }
 
+release with_load_queries(release value)
+{
+    value.services_["kits"].choice_policy_ = "ask_first";
+    value.services_["kits"].health_path_ = "/healthz";
+    return value;
+}
+
+const std::string health_response =
+    ok("", "Anvilturn-Load: busy=1, queued=0, slots=6\r\n");
+
 std::string request(const std::string& path, const std::string& id)
 {
     return "GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Call: " + id + "\r\n\r\n";
@@ -257,4 +267,90 @@
     BOOST_TEST(status_line_of(caller.read_header()) == "HTTP/1.1 200 OK");
 }
 
+// The response to a load query has no call id, so a late copy was taken for the
+// response to the next call on the connection: the caller got 503, which
+// promises that its call has not run, while the target worked on it.
+BOOST_AUTO_TEST_CASE(a_late_copy_of_a_load_response_reaches_no_call)
+{
+    for (const std::string status : {"503 Ill", "200 OK", "404 Not Found"})
+    {
+        BOOST_TEST_CONTEXT(status)
+        {
+            scripted_target target;
+            relay vm(with_load_queries(make_release({target.address()})),
+                     custom_dialect_settings());
+            auto caller = vm.call();
+            caller.send(request("/kits", "one"));
+            auto connection = target.accept();
+            connection.read_header();
+            connection.send(health_response);
+            BOOST_TEST(
+                contains(connection.read_header(), "GET /kits HTTP/1.1\r\n"));
+            connection.send("HTTP/1.1 " + status +
+                            "\r\nContent-Length: 0\r\n\r\n");
+            connection.send(signed_response("one", "yes"));
+            BOOST_TEST(status_line_of(caller.read_header()) ==
+                       "HTTP/1.1 200 OK");
+        }
+    }
+}
+
+// A late copy of a refused load query can't be told from the refusal of a call,
+// which would be sent to another target while this one runs it.
+BOOST_AUTO_TEST_CASE(a_connection_is_not_reused_after_a_refused_load_query)
+{
+    scripted_target target;
+    relay vm(with_load_queries(make_release({target.address()})),
+             custom_dialect_settings());
+    auto caller = vm.call();
+    caller.send(request("/kits", "one"));
+    auto connection = target.accept();
+    connection.read_header();
+    connection.send("HTTP/1.1 503 Busy\r\nAnvilturn-Not-Run: 1\r\n"
+                    "Anvilturn-Load: busy=1, queued=0, slots=6\r\n"
+                    "Content-Length: 0\r\n\r\n");
+    BOOST_TEST(connection.read_to_end() == "");
+}
+
+// A late copy of a response without a call id can't be told from the response
+// to the next call.
+BOOST_AUTO_TEST_CASE(a_connection_is_not_reused_after_a_response_without_id)
+{
+    scripted_target target;
+    relay vm(make_release({target.address()}), custom_dialect_settings());
+    auto caller = vm.call();
+    caller.send(request("/kits", "one"));
+    auto connection = target.accept();
+    connection.read_header();
+    connection.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+    BOOST_TEST(status_line_of(caller.read_header()) ==
+               "HTTP/1.1 404 Not Found");
+    caller.send(request("/kits", "two"));
+    BOOST_TEST(connection.read_to_end() == "");
+    auto fresh = target.accept();
+    fresh.read_header();
+    fresh.send(signed_response("two", "yes"));
+    BOOST_TEST(status_line_of(caller.read_header()) == "HTTP/1.1 200 OK");
+}
+
+// The end of the other call's response was taken for the end of this call's,
+// whose caller then got nothing at all.
+BOOST_AUTO_TEST_CASE(
+    a_stray_response_that_ends_with_its_connection_ends_no_call)
+{
+    scripted_target target;
+    relay vm(make_release({target.address()}), custom_dialect_settings());
+    auto caller = vm.call();
+    caller.send(request("/kits", "one"));
+    auto connection = target.accept();
+    connection.read_header();
+    connection.send("HTTP/1.1 200 OK\r\nX-Call: zero\r\nX-Signed: 1\r\n\r\n"
+                    "of an earlier call");
+    connection.close();
+    const auto header = caller.read_header();
+    BOOST_TEST(status_line_of(header) == "HTTP/1.1 502 Bad Gateway");
+    BOOST_TEST(outcome_of(header) == "unknown target_answer_lost");
+    BOOST_TEST(vm.path().statistics().answered_ == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
