--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -187,6 +187,11 @@
             needs_snapshot_ = true;
             apply(objects);
         };
+        result.on_answer_ = [this, record = std::move(result.on_answer_)]
+        {
+            fallback_.record_answer();
+            record();
+        };
         return result;
     }
 
