--- a/modules/av_daemon/daemon_options.cpp
+++ b/modules/av_daemon/daemon_options.cpp
@@ -1,5 +1,6 @@
 #include <av_daemon/daemon_options.hpp>
 
+#include <av_daemon/grantors.hpp>
 #include <av_daemon/platform_bounds.hpp>
 #include <av_platform/platform_keys.hpp>
 #include <av_routing/choice_policy.hpp>
@@ -34,6 +35,8 @@
     path.request_timeout_ = section.request_timeout_;
     path.idle_timeout_ = section.idle_timeout_;
     path.connect_timeout_ = section.connect_timeout_;
+    path.limit_bounds_ = limit_bounds_of(value);
+    path.regions_ = value.vm().regions_;
     return path;
 }
 
@@ -88,6 +91,7 @@
     store_options options;
     options.address_ = value.platform().address_;
     options.call_timeout_ = value.platform().call_timeout_;
+    options.evacuations_ = value.platform().evacuations_;
     auto& defaults = options.service_defaults_;
     defaults.choice_policy_ = section.choice_policy_;
     defaults.retry_ratio_ = section.retry_ratio_;
--- a/modules/av_daemon/state_dump.cpp
+++ b/modules/av_daemon/state_dump.cpp
@@ -98,6 +98,7 @@
         put(out, "services", state.release_->services_.size());
         put(out, "targets", state.release_->targets_.size());
         put(out, "rules", state.release_->rules_.size());
+        put(out, "accounts", state.release_->accounts_.size());
     }
     out << YAML::EndMap;
 }
@@ -174,6 +175,46 @@
     put(out, "store_watches", registry.calls_.watches_);
     put(out, "store_checks", registry.calls_.checks_);
     put(out, "store_failures", registry.calls_.failures_);
+    if (registry.evacuated_domains_)
+    {
+        begin_list(out, "evacuated_failure_domains");
+        for (const auto& domain : *registry.evacuated_domains_)
+        {
+            out << domain;
+        }
+        out << YAML::EndSeq;
+    }
+    out << YAML::EndMap;
+}
+
+void emit_fleet_limits(YAML::Emitter& out, const daemon_state& state)
+{
+    if (!state.fleet_limits_)
+    {
+        return;
+    }
+    const auto& limits = *state.fleet_limits_;
+    begin_map(out, "fleet_limits");
+    put(out, "grantors", limits.grantors_);
+    put(out, "granted", limits.granted_);
+    put(out, "over_limit", limits.over_limit_);
+    put(out, "unavailable", limits.unavailable_);
+    put(out, "queries", limits.queries_);
+    put(out, "failed_queries", limits.failed_queries_);
+    put(out, "grantors_unreachable", limits.unreachable_grantors_);
+    put(out, "keys", limits.keys_);
+    if (limits.server_)
+    {
+        const auto& server = *limits.server_;
+        begin_map(out, "as_grantor");
+        put(out, "queries", server.queries_);
+        put(out, "permits", server.permits_);
+        put(out, "refused", server.refused_);
+        put(out, "unknown", server.unknown_);
+        put(out, "connections", server.connections_);
+        put(out, "keys", server.keys_);
+        out << YAML::EndMap;
+    }
     out << YAML::EndMap;
 }
 
@@ -219,6 +260,26 @@
     out << YAML::EndSeq;
 }
 
+// Without their keys, which are secret.
+void emit_accounts(YAML::Emitter& out, const daemon_state& state)
+{
+    if (state.requests_.accounts_.empty())
+    {
+        return;
+    }
+    begin_list(out, "accounts");
+    for (const auto& account : state.requests_.accounts_)
+    {
+        out << YAML::BeginMap;
+        put(out, "name", account.account_);
+        put(out, "answered", account.answered_);
+        put(out, "not_run", account.not_run_);
+        put(out, "unknown", account.unknown_);
+        out << YAML::EndMap;
+    }
+    out << YAML::EndSeq;
+}
+
 void emit_targets(YAML::Emitter& out, const daemon_state& state)
 {
     begin_list(out, "targets");
@@ -286,10 +347,12 @@
             emit_release(out, state);
             emit_calls(out, state);
             emit_services(out, state);
+            emit_accounts(out, state);
             emit_targets(out, state);
             emit_members(out, state);
             emit_control(out, state.control_);
             emit_registry(out, state);
+            emit_fleet_limits(out, state);
         });
 }
 
--- a/modules/av_daemon/tests/state_dump_test.cpp
+++ b/modules/av_daemon/tests/state_dump_test.cpp
@@ -89,6 +89,8 @@
     auto state = make_state();
     state.requests_.targets_.resize(3);
     state.requests_.services_.resize(2);
+    state.fleet_limits_.emplace();
+    state.fleet_limits_->server_.emplace();
     std::vector<std::string> names;
     for (const auto& sample : collect_metrics(state))
     {
@@ -101,4 +103,57 @@
     BOOST_TEST((std::adjacent_find(names.begin(), names.end()) == names.end()));
 }
 
+// Keys are secret, and the names of accounts bound the series of metrics.
+BOOST_AUTO_TEST_CASE(dump_and_metrics_name_accounts_without_their_keys)
+{
+    auto state = make_state();
+    auto value = std::make_shared<release>();
+    value->accounts_["lestari"].name_ = "lestari";
+    value->accounts_["lestari"].keys_ = {"ta828m82thhkmgjqnirt"};
+    state.release_ = value;
+    state.requests_.accounts_ = {{"lestari", 3, 1, 0}, {"", 9, 0, 0}};
+    const auto text = render_dump(state);
+    BOOST_TEST(contains(text, "name: lestari"));
+    BOOST_TEST(contains(text, "accounts: 1"));
+    BOOST_TEST(!contains(text, "ta828"));
+    const auto samples = collect_metrics(state);
+    const auto count = std::count_if(samples.begin(),
+                                     samples.end(),
+                                     [](const metric_sample& sample)
+                                     {
+                                         return sample.name_ ==
+                                                "anvilturn_account_calls_total";
+                                     });
+    BOOST_TEST(count == 6);
+}
+
+// Deployments without limits for all VMs together must not see them.
+BOOST_AUTO_TEST_CASE(fleet_limits_are_shown_where_there_are_some)
+{
+    const auto has_sample = [](const daemon_state& state, const char* name)
+    {
+        const auto samples = collect_metrics(state);
+        return std::any_of(samples.begin(),
+                           samples.end(),
+                           [name](const metric_sample& sample)
+                           {
+                               return sample.name_ == name;
+                           });
+    };
+    auto state = make_state();
+    BOOST_TEST(!contains(render_dump(state), "fleet_limits"));
+    BOOST_TEST(!has_sample(state, "anvilturn_permits_total"));
+    state.fleet_limits_.emplace();
+    state.fleet_limits_->grantors_ = {"127.0.36.1:5"};
+    state.fleet_limits_->over_limit_ = 17;
+    BOOST_TEST(contains(render_dump(state), "- 127.0.36.1:5"));
+    BOOST_TEST(contains(render_dump(state), "over_limit: 17"));
+    BOOST_TEST(!contains(render_dump(state), "as_grantor"));
+    BOOST_TEST(has_sample(state, "anvilturn_permits_total"));
+    BOOST_TEST(!has_sample(state, "anvilturn_grant_permits_total"));
+    state.fleet_limits_->server_.emplace();
+    BOOST_TEST(contains(render_dump(state), "as_grantor"));
+    BOOST_TEST(has_sample(state, "anvilturn_grant_permits_total"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -2,8 +2,10 @@
 
 #include <av_core/log_event.hpp>
 #include <av_core/monotonic_clock.hpp>
+#include <av_feed/replica_observer.hpp>
 #include <av_feed/store_replica.hpp>
 #include <av_feed/store_session.hpp>
+#include <av_feed/watcher_fallback.hpp>
 #include <av_net/duration.hpp>
 #include <av_registry/watcher_choice.hpp>
 #include <av_replication/registry_publisher.hpp>
@@ -54,6 +56,16 @@
 constexpr milliseconds watcher_search_interval{500.0};
 constexpr milliseconds watcher_search_interval_at_startup{50.0};
 
+// Returns the watchers besides this VM.
+std::vector<std::string> other_watchers(const registry_options& options)
+{
+    auto others = options.watchers_;
+    others.erase(
+        std::remove(others.begin(), others.end(), options.peer_address_),
+        others.end());
+    return others;
+}
+
 enum class subscription_end_cause
 {
     // The watcher is unreachable or sent outdated or malformed data.
@@ -75,6 +87,7 @@
         : context_(context)
         , options_(std::move(options))
         , release_name_(calls.release_name_)
+        , follows_evacuations_(calls.evacuations_.list_ != nullptr)
         , watchers_(
               make_watcher_records(options_.watchers_, options_.peer_address_))
         , is_watcher_(watchers_.empty())
@@ -86,7 +99,11 @@
                   is_watcher_,
                   [this]
                   {
-                      return monotonic_now() - answered_at();
+                      // A watcher reports for itself only, so that watchers
+                      // never follow each other in a circle.
+                      return monotonic_now() - (is_watcher_
+                                                    ? store_.answered_at()
+                                                    : answered_at());
                   })
         , replica_(context,
                    server_,
@@ -97,7 +114,25 @@
                  observer(),
                  is_watcher_ ? watcher_call_intervals
                              : subscriber_call_intervals)
+        , fallback_(
+              context,
+              options_.service_defaults_,
+              is_watcher_ ? other_watchers(options_)
+                          : std::vector<std::string>(),
+              [this]
+              {
+                  return monotonic_now() - store_.answered_at();
+              },
+              [this](const registry_update& update)
+              {
+                  return apply_fallback_update(update);
+              })
     {
+        if (follows_evacuations_)
+        {
+            server_.require_evacuations();
+            replica_.follow_evacuations();
+        }
         if (is_watcher_)
         {
             replica_.start_publishing();
@@ -117,6 +152,7 @@
         if (is_watcher_)
         {
             store_.start();
+            fallback_.start();
             return absl::OkStatus();
         }
         schedule_store_fallback(store_fallback_delay_at_startup);
@@ -132,46 +168,29 @@
         replica_.describe(result);
         result.subscribers_ = server_.subscribers();
         result.calls_ = store_.counts();
-        if (receives_updates())
-        {
-            result.watcher_ = watchers_[*watcher_].address_;
-        }
+        result.watcher_ = receives_updates() ? watchers_[*watcher_].address_
+                                             : fallback_.watcher();
         return result;
     }
 
 private:
     store_observer observer()
     {
-        store_observer result;
-        result.on_releases_ =
-            [this](const std::vector<listed_object<release>>& objects)
-        {
-            for (const auto& object : objects)
-            {
-                if (object.name_ == release_name_ && object.value_)
-                {
-                    replica_.apply_release(
-                        std::make_shared<const release>(*object.value_));
-                }
-            }
-        };
+        auto result = replica_observer(replica_, store_, release_name_);
         result.on_target_listing_ =
-            [this](const std::vector<listed_target>& objects)
+            [this, apply = std::move(result.on_target_listing_)](
+                const std::vector<listed_target>& objects)
         {
             // Changes from a watcher can't be applied to this listing, only to
             // a snapshot from the same watcher.
             position_ = {};
             needs_snapshot_ = true;
-            replica_.apply_listing(objects, store_.target_revision());
+            apply(objects);
         };
-        result.on_target_changes_ =
-            [this](const std::vector<target_change>& changes)
+        result.on_answer_ = [this, record = std::move(result.on_answer_)]
         {
-            replica_.apply_changes(changes, store_.target_revision());
-        };
-        result.on_answer_ = [this]
-        {
-            replica_.record_answer(monotonic_now());
+            fallback_.record_answer();
+            record();
         };
         return result;
     }
@@ -216,6 +235,7 @@
                            needs_status_query(watcher, monotonic_now());
         end_cause_ = subscription_end_cause::failed;
         needs_snapshot_ = false;
+        evacuations_named_ = false;
         auto position = position_;
         position.status_query_only_ = is_status_query_;
         position.peer_address_ = options_.peer_address_;
@@ -300,6 +320,12 @@
         {
             return false;
         }
+        // A watcher that does not read the evacuations can't be relied on.
+        evacuations_named_ = evacuations_named_ || update.evacuated_domains_;
+        if (follows_evacuations_ && !evacuations_named_)
+        {
+            return false;
+        }
         if (has_better_watcher(
                 watchers_, *watcher_, options_.failure_domain_, now))
         {
@@ -379,7 +405,8 @@
                                   milliseconds now)
     {
         needs_snapshot_ = needs_snapshot_ || update.is_snapshot_ ||
-                          !update.changes_.empty() || update.release_;
+                          !update.changes_.empty() || update.release_ ||
+                          update.evacuated_domains_;
         record_update_loss("the store does not answer the watcher", now);
         // A standby that left would be replaced by another VM, which would have
         // to read the store anew.
@@ -405,6 +432,16 @@
         position_.release_version_ = replica_.version();
     }
 
+    bool apply_fallback_update(const registry_update& update)
+    {
+        if (update.store_revision_ < replica_.revision())
+        {
+            return false;
+        }
+        apply(update, monotonic_now());
+        return true;
+    }
+
     void handle_subscription_end(const std::string& reason)
     {
         const auto now = monotonic_now();
@@ -470,6 +507,7 @@
     const milliseconds started_at_ = monotonic_now();
     const registry_options options_;
     const std::string release_name_;
+    const bool follows_evacuations_;
     std::vector<watcher_record> watchers_;
     const bool is_watcher_;
     // Whether this VM is a standby of its watcher.
@@ -486,6 +524,9 @@
     std::optional<std::size_t> last_watcher_;
     // Whether the current subscription is a status query only.
     bool is_status_query_ = false;
+    // Whether the watcher has named the evacuations since the current
+    // subscription began.
+    bool evacuations_named_ = false;
     // Why the current subscription ends.
     subscription_end_cause end_cause_ = subscription_end_cause::failed;
     // Whether this VM lacks the state that the watcher's changes apply to, so
@@ -495,6 +536,7 @@
     store_replica replica_;
     store_session store_;
     std::unique_ptr<registry_subscriber> client_;
+    watcher_fallback fallback_;
 };
 
 registry_control::registry_control(asio::io_context& context,
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -79,7 +79,7 @@
 void proxied_call::on_request_body(bool complete)
 {
     request_complete_ = complete;
-    if (awaits_configuration_)
+    if (awaits_configuration_ || awaits_permit_)
     {
         return;
     }
@@ -113,6 +113,7 @@
     {
         connection->abandon();
         lifecycle_.end_attempt({});
+        release_attempt_permits(false);
         const auto service = service_->state_;
         release_target();
         worker_.on_slot_freed(service);
@@ -200,6 +201,16 @@
     return *service_;
 }
 
+const account_spec* proxied_call::account() const
+{
+    return account_;
+}
+
+const region_limit& proxied_call::regions() const
+{
+    return regions_;
+}
+
 void proxied_call::set_target_summary(const target_summary& summary)
 {
     target_summary_ = summary;
@@ -270,6 +281,11 @@
     table_ = worker_.table();
     service_ = nullptr;
     rule_ = nullptr;
+    accounts_.reset();
+    account_ = nullptr;
+    account_permit_.reset();
+    target_permit_.reset();
+    awaits_permit_ = false;
     worker_state_ = nullptr;
     ticket_.reset();
     started_at_ = arrived_at;
@@ -323,6 +339,11 @@
         start_attempt(service_->dispatcher_target_, true);
         return;
     }
+    if (!has_account_permit())
+    {
+        request_account_permit();
+        return;
+    }
     worker_.dispatch_or_enqueue(*this, link_.share_call());
 }
 
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -12,10 +12,13 @@
 #include <av_model/call_outcome.hpp>
 #include <av_proxy/attempt_observer.hpp>
 #include <av_proxy/caller_link.hpp>
+#include <av_proxy/held_permit.hpp>
+#include <av_proxy/region_limit.hpp>
 #include <av_proxy/routing_table.hpp>
 #include <av_proxy/target_connection.hpp>
 #include <av_routing/target_summary.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -25,6 +28,7 @@
 namespace anvilturn
 {
 
+struct permit_answer;
 class worker;
 struct worker_service_state;
 
@@ -86,6 +90,10 @@
     void set_expected_wait(milliseconds value);
     bool is_excluded(const target_state* state) const;
     const service_entry& service() const;
+    // The account on whose behalf the call is made; null if there is none.
+    const account_spec* account() const;
+    // The regions in which the call may run.
+    const region_limit& regions() const;
     // Stores the summary of the targets when none was found for the call, for
     // logs.
     void set_target_summary(const target_summary& summary);
@@ -117,15 +125,24 @@
 
     void reset(milliseconds arrived_at);
     void assign_call_id();
-    void prepare_call();
+    bool prepare_call();
     bool await_configuration();
     std::optional<error_kind> find_service();
+    std::optional<error_kind> find_account();
     bool lacks_configuration() const;
     bool answer_local_path();
     void answer_readiness_check();
     void route_call();
     bool is_too_late_for_stop() const;
     bool should_forward() const;
+    bool has_account_permit();
+    void request_account_permit();
+    void on_account_permit(const permit_answer& answer);
+    void take_cold_permit(const target_entry& target);
+    bool may_send_now();
+    void spend_permits();
+    void release_attempt_permits(bool refused);
+    void return_permit(std::optional<held_permit>& permit);
     void start_attempt(const target_entry& target, bool to_vm);
     void send_body();
     void record_response_head(const response_head& head);
@@ -147,7 +164,7 @@
     void respond(error_kind kind);
     void count(error_kind kind);
     void count_answered();
-    void record_call_duration(call_outcome outcome) const;
+    void record_outcome(call_outcome outcome) const;
     milliseconds retry_after(error_kind reason) const;
     void log_attempt_start() const;
     void log_attempt_end(error_kind kind, bool refused) const;
@@ -167,6 +184,17 @@
     std::shared_ptr<const routing_table> table_;
     const service_entry* service_ = nullptr;
     const rule_spec* rule_ = nullptr;
+    // The accounts of the release in force when the call began, which a call
+    // keeps, and its own; null if there are none.
+    std::shared_ptr<const release_accounts> accounts_;
+    const account_spec* account_ = nullptr;
+    std::optional<held_permit> account_permit_;
+    // Of the target of this attempt, if that is cold.
+    std::optional<held_permit> target_permit_;
+    bool awaits_permit_ = false;
+    // Counts the requests of all calls of the connection, since the response to
+    // one of an earlier call may arrive during a later one.
+    std::uint64_t permit_requests_ = 0;
     traffic_class class_ = traffic_class::interactive;
     worker_service_state* worker_state_ = nullptr;
     std::optional<queue_ticket> ticket_;
@@ -211,6 +239,7 @@
     // load report showed room.
     bool refused_with_room_ = false;
     std::optional<target_summary> target_summary_;
+    region_limit regions_;
     // When room for the refused call is expected, if that is known.
     std::optional<milliseconds> expected_wait_;
     milliseconds attempt_started_at_;
--- a/modules/av_proxy/proxied_call_end.cpp
+++ b/modules/av_proxy/proxied_call_end.cpp
@@ -18,6 +18,7 @@
 namespace
 {
 
+constexpr int too_many_status = 429;
 constexpr int busy_status = 503;
 constexpr auto relaxed = std::memory_order_relaxed;
 
@@ -38,6 +39,7 @@
     const bool budget_exempt = to_vm_ || nothing_sent;
     possible_runs_ += nothing_sent || refused ? 0 : 1;
     log_attempt_end(kind, refused);
+    release_attempt_permits(refused);
     release_connection(kind, refused);
     attempt_summary result;
     result.target_refused_ = refused;
@@ -112,6 +114,7 @@
 void proxied_call::abort_connection(error_kind kind)
 {
     count(kind);
+    return_permit(account_permit_);
     active_ = false;
     worker_.counters().calls_.fetch_sub(1, relaxed);
     link_.abort_connection();
@@ -140,7 +143,7 @@
         name_of(not_run ? call_outcome::not_run : call_outcome::unknown);
     response.reason_ = entry.name_;
     response.text_ = entry.remedy_;
-    if (response.status_ == busy_status)
+    if (response.status_ == busy_status || response.status_ == too_many_status)
     {
         response.retry_after_ = retry_after(reason);
     }
@@ -201,8 +204,7 @@
     const bool not_run = lifecycle_.phase() == call_phase::not_run;
     auto& outcome = not_run ? counters.not_run_ : counters.unknown_;
     outcome.fetch_add(1, relaxed);
-    record_call_duration(not_run ? call_outcome::not_run
-                                 : call_outcome::unknown);
+    record_outcome(not_run ? call_outcome::not_run : call_outcome::unknown);
     counters.reasons_[static_cast<std::size_t>(kind)].fetch_add(1, relaxed);
 }
 
@@ -216,22 +218,29 @@
     if (vm_outcome_ == name_of(call_outcome::not_run))
     {
         counters.not_run_.fetch_add(1, relaxed);
-        record_call_duration(call_outcome::not_run);
+        record_outcome(call_outcome::not_run);
     }
     else if (vm_outcome_ == name_of(call_outcome::unknown))
     {
         counters.unknown_.fetch_add(1, relaxed);
-        record_call_duration(call_outcome::unknown);
+        record_outcome(call_outcome::unknown);
     }
     else
     {
         counters.answered_.fetch_add(1, relaxed);
-        record_call_duration(call_outcome::answered);
+        record_outcome(call_outcome::answered);
     }
 }
 
-void proxied_call::record_call_duration(call_outcome outcome) const
+// Records how long the call took, and counts it for its account.
+void proxied_call::record_outcome(call_outcome outcome) const
 {
+    if (account_ != nullptr)
+    {
+        accounts_->counters_of(*account_)
+            .calls_[static_cast<std::size_t>(outcome)]
+            .fetch_add(1, relaxed);
+    }
     auto* const recorder = worker_.core().recorder_;
     if (recorder != nullptr)
     {
@@ -300,6 +309,10 @@
             .field("usual_ms", typical_time(worker_state_->profile_).count())
             .field("retry_tokens", worker_state_->budget_.tokens_);
     }
+    if (account_ != nullptr)
+    {
+        event.field("account", account_->name_);
+    }
     if (work_ != nullptr)
     {
         event.field("work_ms", work_time().count());
@@ -326,6 +339,9 @@
     worker_state_ = nullptr;
     service_ = nullptr;
     table_.reset();
+    accounts_.reset();
+    account_ = nullptr;
+    return_permit(account_permit_);
     link_.finish_response(keep_alive);
 }
 
--- a/modules/av_proxy/request_path.cpp
+++ b/modules/av_proxy/request_path.cpp
@@ -14,6 +14,7 @@
 #include <future>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -123,12 +124,14 @@
     std::string forward_address_;
     // Serializes publish calls, which come from the control plane.
     std::mutex publish_mutex_;
-    // Without its rules, which are in rules_.
+    // Without its rules and accounts, which are in rules_ and accounts_.
     release release_;
     std::shared_ptr<const rule_matcher> rules_ =
         std::make_shared<const rule_matcher>();
+    std::shared_ptr<const release_accounts> accounts_;
     fleet_view fleet_;
     std::optional<std::map<std::string, target_spec>> registered_;
+    std::set<std::string> evacuated_domains_;
 
     absl::Status listen_all()
     {
@@ -167,7 +170,10 @@
                                                     : release_.targets_,
                                         fleet_,
                                         core_.workers_.size(),
-                                        previous.get()};
+                                        previous.get(),
+                                        accounts_,
+                                        &evacuated_domains_,
+                                        &core_.settings_.regions_};
         core_.table_.publish(build_routing_table(input, monotonic_now()));
     }
 
@@ -246,6 +252,12 @@
     implementation_->release_.rules_.clear();
     implementation_->rules_ =
         std::make_shared<const rule_matcher>(value.rules_);
+    implementation_->release_.accounts_.clear();
+    implementation_->accounts_ =
+        value.accounts_.empty()
+            ? nullptr
+            : std::make_shared<const release_accounts>(
+                  value.accounts_, implementation_->accounts_.get());
     implementation_->publish_table();
 }
 
@@ -256,6 +268,13 @@
     implementation_->publish_table();
 }
 
+void request_path::publish_evacuations(std::set<std::string> failure_domains)
+{
+    const std::lock_guard<std::mutex> lock(implementation_->publish_mutex_);
+    implementation_->evacuated_domains_ = std::move(failure_domains);
+    implementation_->publish_table();
+}
+
 void request_path::publish(const fleet_view& value)
 {
     const std::lock_guard<std::mutex> lock(implementation_->publish_mutex_);
@@ -342,6 +361,10 @@
     {
         add_service(result, service.second, monotonic_now());
     }
+    if (table->accounts_ != nullptr)
+    {
+        result.accounts_ = account_statistics_of(*table->accounts_);
+    }
     return result;
 }
 
--- a/modules/av_proxy/request_path_settings.hpp
+++ b/modules/av_proxy/request_path_settings.hpp
@@ -3,10 +3,13 @@
 
 #include <av_core/comparison.hpp>
 #include <av_core/milliseconds.hpp>
+#include <av_grants/permit_client.hpp>
 #include <av_http/header_dialect.hpp>
 #include <av_http/http_limits.hpp>
+#include <av_quota/fleet_limit.hpp>
 
 #include <cstddef>
+#include <map>
 #include <string>
 #include <tuple>
 
@@ -49,6 +52,14 @@
     // A connection without a call is closed after this time.
     milliseconds idle_timeout_{60000.0};
     milliseconds connect_timeout_{1000.0};
+    // Bounds of the limits that hold for all VMs together.
+    limit_bounds limit_bounds_;
+    // For the permit client of each thread; no grantors if there are no such
+    // limits. Not part of the comparison.
+    permit_client_options permits_;
+    // The region of each failure domain, for calls that are restricted to
+    // regions. A failure domain that is missing belongs to none.
+    std::map<std::string, std::string> regions_{};
 
     // Returns all members, for comparison.
     auto tie() const
@@ -66,7 +77,9 @@
                         relay_memory_bytes_,
                         request_timeout_,
                         idle_timeout_,
-                        connect_timeout_);
+                        connect_timeout_,
+                        limit_bounds_,
+                        regions_);
     }
 };
 
--- a/modules/av_proxy/routing_table.cpp
+++ b/modules/av_proxy/routing_table.cpp
@@ -31,8 +31,11 @@
                : nullptr;
 }
 
-std::shared_ptr<target_state> reuse_or_create_target_state(
-    const target_spec& spec, const routing_table* previous, milliseconds now)
+std::shared_ptr<target_state>
+reuse_or_create_target_state(const target_spec& spec,
+                             const routing_table* previous,
+                             bool limits_cold_targets,
+                             milliseconds now)
 {
     const auto* service =
         previous == nullptr ? nullptr : previous->find_service(spec.service_);
@@ -41,10 +44,24 @@
     if (known != nullptr && known->spec_.address_ == spec.address_ &&
         known->spec_.incarnation_ == spec.incarnation_)
     {
+        // The time counts from when the entry arrived, so an entry that is the
+        // same in a new table says nothing new.
+        if (limits_cold_targets && known->spec_.cold_for_ != spec.cold_for_)
+        {
+            record_coldness(*known->state_,
+                            spec.cold_for_,
+                            coldness_source::store_entry,
+                            now);
+        }
         return known->state_;
     }
     auto state = std::make_shared<target_state>(
         spec.name_, spec.address_, spec.incarnation_);
+    if (limits_cold_targets)
+    {
+        record_coldness(
+            *state, spec.cold_for_, coldness_source::store_entry, now);
+    }
     if (service != nullptr)
     {
         state->slow_start_since_ms_.store(now.count());
@@ -115,8 +132,46 @@
         forward_connections_per_thread;
 }
 
+void set_evacuation_and_region(target_entry& target,
+                               const routing_table_input& input)
+{
+    const auto& domain = target.spec_.failure_domain_;
+    target.evacuated_ = input.evacuated_domains_ != nullptr &&
+                        input.evacuated_domains_->count(domain) > 0;
+    if (input.regions_ == nullptr)
+    {
+        return;
+    }
+    const auto region = input.regions_->find(domain);
+    if (region != input.regions_->end())
+    {
+        target.region_ = region->second;
+    }
+}
+
 } // namespace
 
+bool is_permitted(const target_entry& target,
+                  const region_limit& limit) noexcept
+{
+    return !target.evacuated_ && allows(limit, target.region_);
+}
+
+bool has_permitted_target(const service_entry& service,
+                          const region_limit& limit) noexcept
+{
+    if (!limit.is_limited_ && !service.has_evacuated_targets_)
+    {
+        return true;
+    }
+    return std::any_of(service.targets_.begin(),
+                       service.targets_.end(),
+                       [&limit](const target_entry& target)
+                       {
+                           return is_permitted(target, limit);
+                       });
+}
+
 bool uses_load_queries(const service_entry& service) noexcept
 {
     return service.policy_ != nullptr &&
@@ -137,6 +192,7 @@
     auto table = std::make_shared<routing_table>();
     table->version_ = input.release_.version_;
     table->rules_ = input.rules_;
+    table->accounts_ = input.accounts_;
     for (const auto& entry : input.release_.services_)
     {
         auto& service = table->services_[entry.first];
@@ -156,14 +212,19 @@
         }
         target_entry target;
         target.spec_ = spec;
-        target.state_ =
-            reuse_or_create_target_state(spec, input.previous_, now);
+        target.state_ = reuse_or_create_target_state(
+            spec,
+            input.previous_,
+            service->second.spec_.cold_rate_per_second_ > 0.0,
+            now);
         target.state_->ejecting_streak_.store(
             service->second.spec_.ejecting_failures_);
         target.same_domain_ =
             spec.failure_domain_ == fleet.self_.failure_domain_;
         target.connections_per_thread_ = connection_share(
             spec.connection_limit_, fleet.members_.size(), threads);
+        set_evacuation_and_region(target, input);
+        service->second.has_evacuated_targets_ |= target.evacuated_;
         service->second.targets_.push_back(std::move(target));
     }
     return table;
--- a/modules/av_proxy/worker_choice.cpp
+++ b/modules/av_proxy/worker_choice.cpp
@@ -168,15 +168,21 @@
     input.isolated_ = core_.isolated_.load(relaxed);
     views_.clear();
     const bool queries_first = uses_load_queries(service);
+    const bool limits_cold = limits_cold_targets(service);
     const auto* const profile =
         queries_first ? &worker_state_of(service).profile_ : nullptr;
+    const region_limit unlimited;
+    const auto& regions = call == nullptr ? unlimited : call->regions();
     for (const auto& target : service.targets_)
     {
         const int best = queries_first
                              ? best_concurrency(*profile, target.spec_.slots_)
                              : target.spec_.slots_;
         auto view = view_of(target.spec_, *target.state_, input.now_);
-        const auto status = eligibility(target.spec_, *target.state_, input);
+        const auto status =
+            is_permitted(target, regions)
+                ? eligibility(target.spec_, *target.state_, input)
+                : target_eligibility::excluded;
         refresh_pending =
             refresh_pending || status == target_eligibility::awaits_refresh;
         view.eligible_ =
@@ -186,6 +192,10 @@
         view.local_limit_ = concurrency_limit_for(service, target);
         view.best_concurrency_ = best;
         view.has_connection_ = has_idle_connection(target);
+        if (limits_cold)
+        {
+            apply_cold_permit(target, view);
+        }
         views_.push_back(view);
     }
     exclude_outliers(views_, service.targets_, input.now_);
--- a/modules/av_settings/settings_fields.cpp
+++ b/modules/av_settings/settings_fields.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr std::size_t max_seed_peers = 16;
+constexpr std::size_t max_regions = 256;
+constexpr std::size_t max_region_name_length = 256;
 constexpr std::int64_t kibibyte = 1024;
 constexpr std::int64_t mebibyte = 1024 * kibibyte;
 constexpr milliseconds min_timeout{10.0};
@@ -105,6 +107,67 @@
     return field;
 }
 
+// Parses a map from text to text without duplicate keys; returns nothing if the
+// value is none.
+std::optional<std::map<std::string, std::string>>
+parse_text_map(const yaml_value& value)
+{
+    std::map<std::string, std::string> result;
+    for (const auto& member : value.members_)
+    {
+        const auto text = parse_text(member.value_);
+        if (!text || !result.emplace(member.key_, *text).second)
+        {
+            return std::nullopt;
+        }
+    }
+    return value.kind_ == yaml_kind::map ? std::make_optional(result)
+                                         : std::nullopt;
+}
+
+bool is_region_name(const std::string& text)
+{
+    return !text.empty() && is_printable(text, max_region_name_length);
+}
+
+yaml_field<vm_settings> regions_field()
+{
+    auto field = describe_field<vm_settings>(
+        "regions",
+        "map of at most 256 names to names",
+        "region of each failure domain, for calls that are restricted to "
+        "regions; a failure domain that is missing belongs to none");
+    field.read_ = [](const yaml_value& value, vm_settings& into)
+    {
+        auto regions = parse_text_map(value);
+        into.regions_ = std::move(regions).value_or(into.regions_);
+        return regions.has_value();
+    };
+    field.is_valid_ = [](const vm_settings& from)
+    {
+        const auto& regions = from.regions_;
+        return regions.size() <= max_regions &&
+               std::all_of(regions.begin(),
+                           regions.end(),
+                           [](const auto& entry)
+                           {
+                               return is_region_name(entry.first) &&
+                                      is_region_name(entry.second);
+                           });
+    };
+    field.write_ = [](const vm_settings& from)
+    {
+        yaml_value map;
+        map.kind_ = yaml_kind::map;
+        for (const auto& [domain, region] : from.regions_)
+        {
+            map.members_.push_back({domain, 0, yaml_scalar(region)});
+        }
+        return map;
+    };
+    return field;
+}
+
 } // namespace
 
 const yaml_fields<vm_settings>& vm_settings_fields()
@@ -122,7 +185,8 @@
                             &section::deployment_,
                             "name of the deployment, whose VMs share one "
                             "release; VMs of others are refused as peers")),
-        seed_peers_field()};
+        seed_peers_field(),
+        regions_field()};
     return fields;
 }
 
@@ -152,7 +216,12 @@
                    &section::readiness_path_,
                    "path that starts with /",
                    is_request_path,
-                   "path of the readiness check")};
+                   "path of the readiness check"),
+        optional_address_field(
+            "grants",
+            &section::grants_,
+            "for requests of VMs for permits of the limits in fleet_limits; "
+            "required with them, with the same port on all VMs")};
     return fields;
 }
 
@@ -172,7 +241,11 @@
         name_field(
             "adapter",
             &section::adapter_,
-            "protocol of the platform; native is the project's own interface")};
+            "protocol of the platform; native is the project's own interface"),
+        boolean_field("evacuations",
+                      &section::evacuations_,
+                      "whether entries of the platform's store evacuate "
+                      "failure domains; if not, they are not read")};
     return fields;
 }
 
@@ -262,6 +335,43 @@
     return fields;
 }
 
+const yaml_fields<fleet_limit_settings>& fleet_limit_settings_fields()
+{
+    using section = fleet_limit_settings;
+    static const yaml_fields<section> fields = {
+        number_field("account_window_s",
+                     &section::account_window_s_,
+                     0.0,
+                     60.0,
+                     "length of the window, in seconds, in which the calls of "
+                     "an account are bounded; 0 if accounts are not limited"),
+        number_field("account_overrun",
+                     &section::account_overrun_,
+                     0.0,
+                     10.0,
+                     "ratio by which an account's calls in a window may exceed "
+                     "its quota"),
+        number_field("account_slack",
+                     &section::account_slack_,
+                     0.0,
+                     10'000.0,
+                     "number of calls by which they may exceed it in addition"),
+        number_field("cold_overrun",
+                     &section::cold_overrun_,
+                     0.0,
+                     10.0,
+                     "calls that a cold target may get in a second, as a "
+                     "multiple of the rate of its service; 0 if cold targets "
+                     "are not limited"),
+        number_field("cold_slack",
+                     &section::cold_slack_,
+                     0.0,
+                     10'000.0,
+                     "number of calls that a cold target may get in a second "
+                     "in addition")};
+    return fields;
+}
+
 const yaml_fields<shutdown_settings>& shutdown_settings_fields()
 {
     using section = shutdown_settings;
--- a/modules/av_settings/tests/settings_test.cpp
+++ b/modules/av_settings/tests/settings_test.cpp
@@ -158,6 +158,58 @@
     }
 }
 
+// Without limits nothing may be required or change.
+BOOST_AUTO_TEST_CASE(fleet_limits_are_off_by_default)
+{
+    const auto absent = parse_settings(minimal_settings, "vm.yaml");
+    BOOST_TEST_REQUIRE(absent.ok(), absent.status());
+    BOOST_TEST(!absent->fleet_limits().is_enabled());
+    const auto empty =
+        parse_settings(minimal_settings + "fleet_limits: {\n  }\n", "vm.yaml");
+    BOOST_TEST_REQUIRE(empty.ok(), empty.status());
+    BOOST_TEST((*empty == *absent));
+}
+
+BOOST_AUTO_TEST_CASE(fleet_limits_are_read)
+{
+    const auto result = parse_settings(
+        minimal_with("operators:", "grants: \"127.0.1.1:5\", operators:") +
+            "fleet_limits: {\n  account_window_s: 5,\n"
+            "  account_overrun: 0.1,\n  account_slack: 20,\n"
+            "  cold_overrun: 1.5,\n  cold_slack: 8,\n  }\n",
+        "vm.yaml");
+    BOOST_TEST_REQUIRE(result.ok(), result.status());
+    BOOST_TEST(result->listen().grants_ == "127.0.1.1:5");
+    const auto& limits = result->fleet_limits();
+    BOOST_TEST(limits.is_enabled());
+    BOOST_TEST(limits.account_window_s_ == 5.0);
+    BOOST_TEST(limits.account_overrun_ == 0.1);
+    BOOST_TEST(limits.account_slack_ == 20.0);
+    BOOST_TEST(limits.cold_overrun_ == 1.5);
+    BOOST_TEST(limits.cold_slack_ == 8.0);
+}
+
+// A VM without the address would refuse all calls of limited accounts.
+BOOST_AUTO_TEST_CASE(fleet_limits_need_an_address_for_grants)
+{
+    for (const char* limits : {"{account_window_s: 5}", "{cold_overrun: 1.5}"})
+    {
+        check_rejected(
+            {minimal_settings + "fleet_limits: " + limits + "\n",
+             {"vm.yaml:", "'listen.grants'", "missing", "fleet_limits"}});
+    }
+    for (const auto& rejected : std::vector<rejected_case>{
+             {minimal_settings + "fleet_limits: {account_window_s: -1}\n",
+              {"vm.yaml:4:", "'fleet_limits.account_window_s'", "0 to 60"}},
+             {minimal_settings + "fleet_limits: {cold_overrun: .inf}\n",
+              {"vm.yaml:4:", "'fleet_limits.cold_overrun'"}},
+             {minimal_with("operators:", "grants: \"127.0.1.1:4\", operators:"),
+              {"'listen'", "127.0.1.1:4", "twice"}}})
+    {
+        check_rejected(rejected);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(builder_checks_the_same_ranges)
 {
     request_settings request_path;
@@ -261,4 +313,35 @@
     BOOST_TEST(found);
 }
 
+BOOST_AUTO_TEST_CASE(evacuations_and_regions_are_read)
+{
+    const auto none = parse_settings(minimal_settings, "vm.yaml");
+    BOOST_TEST_REQUIRE(none.ok(), none.status());
+    BOOST_TEST(!none->platform().evacuations_);
+    BOOST_TEST(none->vm().regions_.empty());
+    auto text = minimal_with(
+        "deployment: hanoi",
+        R"(deployment: hanoi, regions: {"delta-a": "nile-delta", b: c})");
+    text.replace(
+        text.find("platform: {"), 11, "platform: {evacuations: true, ");
+    const auto result = parse_settings(text, "vm.yaml");
+    BOOST_TEST_REQUIRE(result.ok(), result.status());
+    BOOST_TEST(result->platform().evacuations_);
+    BOOST_TEST(result->vm().regions_.size() == 2U);
+    BOOST_TEST(result->vm().regions_.at("delta-a") == "nile-delta");
+    BOOST_TEST((*none != *result));
+}
+
+BOOST_AUTO_TEST_CASE(invalid_regions_are_rejected)
+{
+    for (const char* regions : {"[a]", "text", "{a: }", "{a: [b]}", "{a: {}}"})
+    {
+        check_rejected(
+            {minimal_with("deployment: hanoi",
+                          std::string("deployment: hanoi, regions: ") +
+                              regions),
+             {"regions", "allowed: map of at most 256 names"}});
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
