--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -137,6 +137,7 @@
     bool should_forward() const;
     bool has_account_permit();
     void request_account_permit();
+    bool awaits_permit(std::uint64_t request) const;
     void on_account_permit(const permit_answer& answer);
     void take_cold_permit(const target_entry& target);
     bool may_send_now();
--- a/modules/av_proxy/proxied_call_permits.cpp
+++ b/modules/av_proxy/proxied_call_permits.cpp
@@ -32,30 +32,39 @@
     return account_permit_.has_value();
 }
 
-// Takes a permit of the account, then routes the call. It may be that the call
-// has ended when this returns.
+// Takes a permit of the account, then routes the call. The targets are queried
+// for their load meanwhile. It may be that the call has ended when this
+// returns.
 void proxied_call::request_account_permit()
 {
+    const auto self = link_.share_call();
     awaits_permit_ = true;
     link_.update_timer();
     const auto request = ++permit_requests_;
     const limit_key key{limit_kind::account, account_->name_};
     worker_.permits()->acquire(
         key,
-        [this, call = link_.share_call(), &owner = worker_, request, key](
-            const permit_answer& answer)
+        [this, self, request, key](const permit_answer& answer)
         {
-            const bool is_current =
-                active_ && awaits_permit_ && request == permit_requests_;
-            if (is_current)
+            if (awaits_permit(request))
             {
                 on_account_permit(answer);
             }
             else if (answer.result_ == permit_result::granted)
             {
-                owner.permits()->give_back(key, answer.expires_at_);
+                worker_.permits()->give_back(key, answer.expires_at_);
             }
         });
+    if (awaits_permit(request))
+    {
+        worker_.query_load_ahead(*this);
+    }
+}
+
+// Returns whether this is still the call that has made the request.
+bool proxied_call::awaits_permit(std::uint64_t request) const
+{
+    return active_ && awaits_permit_ && request == permit_requests_;
 }
 
 void proxied_call::on_account_permit(const permit_answer& answer)
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -141,6 +141,10 @@
     void dispatch_or_enqueue(proxied_call& call,
                              std::shared_ptr<proxied_call> shared);
 
+    // Sends load queries for a call that will wait for a target soon, unless a
+    // target can take it by what is known.
+    void query_load_ahead(const proxied_call& call);
+
     // Removes the call from its queue, if it is queued.
     void withdraw(proxied_call& call, worker_service_state& worker_state);
 
--- a/modules/av_proxy/worker_choice.cpp
+++ b/modules/av_proxy/worker_choice.cpp
@@ -157,6 +157,21 @@
     return !worker_state.queried_targets_.empty();
 }
 
+void worker::query_load_ahead(const proxied_call& call)
+{
+    const auto& service = call.service();
+    if (!uses_load_queries(service))
+    {
+        return;
+    }
+    bool refresh_pending = false;
+    fill_views(service, &call, refresh_pending);
+    if (!service.policy_->choose_(input_for(service, &call)))
+    {
+        send_load_queries(service, worker_state_of(service), call);
+    }
+}
+
 int worker::fill_views(const service_entry& service,
                        const proxied_call* call,
                        bool& refresh_pending)
