--- a/modules/av_proxy/proxied_call_end.cpp
+++ b/modules/av_proxy/proxied_call_end.cpp
@@ -11,6 +11,8 @@
 #include <av_proxy/worker.hpp>
 #include <av_routing/random_bits.hpp>
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace anvilturn
@@ -20,6 +22,8 @@
 
 constexpr int too_many_status = 429;
 constexpr int busy_status = 503;
+// Retry-After has three digits, so times are rounded up to what these can show.
+constexpr double retry_after_step_ms = 10.0;
 constexpr auto relaxed = std::memory_order_relaxed;
 
 } // namespace
@@ -173,6 +177,15 @@
     {
         return immediate_retry_after;
     }
+    if (reason == error_kind::quota_exceeded && expected_wait_)
+    {
+        // The grantor has spread the callers over time already; an earlier
+        // return would be refused again.
+        return std::max(immediate_retry_after,
+                        milliseconds(std::ceil(expected_wait_->count() /
+                                               retry_after_step_ms) *
+                                     retry_after_step_ms));
+    }
     retry_after_input input;
     input.time_left_ = deadline_ - worker_.now();
     input.random_ = unit_interval(worker_.random_bits());
