Say in comments which failures the tests guard against, and correct some

Comments only. Others were wrong or incomplete: when the permit client calls back, which bounds switch the limits of cold targets off, who uses max_frame_bytes, and what clients do with idle connections to a grantor. Not built or run.

--- a/modules/av_accounts/tests/account_table_test.cpp
+++ b/modules/av_accounts/tests/account_table_test.cpp
@@ -26,6 +26,7 @@
 
 BOOST_AUTO_TEST_SUITE(account_tables)
 
+// Guards against valid keys that are refused while a key is replaced.
 BOOST_AUTO_TEST_CASE(an_account_is_found_by_each_of_its_keys)
 {
     account_map accounts;
@@ -53,6 +54,7 @@
     BOOST_TEST((account_table().find_by_key("ta1") == nullptr));
 }
 
+// Guards against calls that another VM forwards and that lose their account.
 BOOST_AUTO_TEST_CASE(accounts_are_found_by_name)
 {
     account_map accounts;
--- a/modules/av_core/tests/log_event_test.cpp
+++ b/modules/av_core/tests/log_event_test.cpp
@@ -140,6 +140,7 @@
     BOOST_TEST(text.find("sss... revision=7\n") + 18 == text.size());
 }
 
+// Guards against parts of lines, and against lines that are lost unnoticed.
 BOOST_AUTO_TEST_CASE(lines_that_do_not_fit_are_dropped_whole_and_counted)
 {
     const stalled_output output;
--- a/modules/av_daemon/daemon_implementation.hpp
+++ b/modules/av_daemon/daemon_implementation.hpp
@@ -44,6 +44,7 @@
     ~implementation();
     implementation(const implementation&) = delete;
     implementation& operator=(const implementation&) = delete;
+
     // Starts everything; fails if an address can't be bound or the store
     // adapter is unknown.
     absl::Status start();
--- a/modules/av_daemon/tests/fleet_grants_test.cpp
+++ b/modules/av_daemon/tests/fleet_grants_test.cpp
@@ -96,6 +96,7 @@
     }
 }
 
+// Guards against more shares than a limit has.
 BOOST_AUTO_TEST_CASE(a_vm_that_is_no_seed_is_no_grantor)
 {
     const auto value =
@@ -104,6 +105,7 @@
     BOOST_TEST(!is_grantor(value));
 }
 
+// Guards against a single VM that refuses all calls with limits.
 BOOST_AUTO_TEST_CASE(without_seeds_a_vm_is_its_own_grantor)
 {
     const auto value = make_settings("[]", both_limits);
@@ -111,6 +113,7 @@
     BOOST_TEST(is_grantor(value));
 }
 
+// Guards against shares so small that a VM must ask many grantors.
 BOOST_AUTO_TEST_CASE(at_most_three_seeds_are_grantors)
 {
     const auto value =
@@ -121,6 +124,7 @@
                 address_list{"127.0.36.2:5", "127.0.36.7:5", "127.0.36.8:5"}));
 }
 
+// Guards against a port that is taken for a part of the address.
 BOOST_AUTO_TEST_CASE(addresses_of_version_6_keep_their_brackets)
 {
     const auto value = make_settings("[\"[fd00::1]:3\"]", both_limits);
@@ -138,6 +142,7 @@
     }
 }
 
+// Guards against a bound that is left at its default, or is in another unit.
 BOOST_AUTO_TEST_CASE(bounds_are_those_of_the_settings)
 {
     const auto bounds = limit_bounds_of(make_settings("[]", both_limits));
@@ -152,6 +157,7 @@
 
 BOOST_AUTO_TEST_SUITE(fleet_grants_test)
 
+// Guards against a limit that stays in force after it was changed.
 BOOST_AUTO_TEST_CASE(limits_are_those_of_the_newest_release)
 {
     grants_in_process process(both_limits);
@@ -183,6 +189,8 @@
     }
 }
 
+// Guards against cold targets that the grantor doesn't know and that get no
+// calls.
 BOOST_AUTO_TEST_CASE(targets_are_found_in_the_release_or_by_registration)
 {
     grants_in_process process(both_limits);
@@ -199,6 +207,7 @@
     BOOST_TEST(!process.grants_.limit_of(warm).has_value());
 }
 
+// Guards against limits of one kind that apply where only the other is set.
 BOOST_AUTO_TEST_CASE(a_kind_that_the_platform_does_not_limit_has_no_limit)
 {
     grants_in_process accounts("{account_window_s: 5}");
@@ -211,6 +220,7 @@
     BOOST_TEST(cold.grants_.limit_of(target).has_value());
 }
 
+// Guards against metrics of a grantor on VMs that are none.
 BOOST_AUTO_TEST_CASE(state_tells_whether_the_vm_is_a_grantor)
 {
     grants_in_process process(both_limits);
--- a/modules/av_feed/store_replica.hpp
+++ b/modules/av_feed/store_replica.hpp
@@ -23,10 +23,9 @@
 {
 
 // What a VM holds of the store: the release, the registered targets and, if it
-// follows them, the evacuated failure domains. Applies
-// what the store or a watcher reports, and passes changes on to the VM's
-// handlers and, if it publishes, to subscribers. Runs on the thread of the
-// io_context only.
+// follows them, the evacuated failure domains. Applies what the store or a
+// watcher reports, and passes changes on to the VM's handlers and, if it
+// publishes, to subscribers. Runs on the thread of the io_context only.
 class store_replica
 {
 public:
--- a/modules/av_feed/tests/evacuations_test.cpp
+++ b/modules/av_feed/tests/evacuations_test.cpp
@@ -157,6 +157,7 @@
 
 BOOST_AUTO_TEST_SUITE(evacuations_suite)
 
+// Guards against calls to the store where evacuations are not used.
 BOOST_AUTO_TEST_CASE(evacuations_are_not_called_for_unless_asked)
 {
     session_fixture fixture(false);
@@ -172,6 +173,8 @@
     BOOST_TEST(fixture.domains_.empty());
 }
 
+// Guards against changes of one collection that are missed because it is never
+// checked.
 BOOST_AUTO_TEST_CASE(evacuations_are_listed_watched_and_checked_in_turn)
 {
     session_fixture fixture(true);
@@ -251,6 +254,8 @@
     BOOST_TEST((vm.control_->state().evacuated_domains_ == names{"b"}));
 }
 
+// Guards against a VM without the store that goes on sending calls to an
+// evacuated domain.
 BOOST_AUTO_TEST_CASE(evacuations_are_learnt_from_a_watcher)
 {
     vm_fixture vm;
--- a/modules/av_feed/tests/registry_control_test.cpp
+++ b/modules/av_feed/tests/registry_control_test.cpp
@@ -438,6 +438,8 @@
         });
 }
 
+// Guards against watchers without the store that follow each other, and take
+// each other's old state for the newest.
 BOOST_AUTO_TEST_CASE(watchers_do_not_follow_one_that_does_not_reach_the_store)
 {
     subscribed_vm vm(no_expiry, "127.0.30.13:28714", true);
--- a/modules/av_grants/client_limit_table.cpp
+++ b/modules/av_grants/client_limit_table.cpp
@@ -7,6 +7,7 @@
 namespace
 {
 
+// The design size is thousands of accounts and 850 targets.
 constexpr std::size_t max_keys = 8192;
 // Looking for idle limits takes time in proportion to the size of the table.
 constexpr milliseconds eviction_interval{1000.0};
--- a/modules/av_grants/grant_server.cpp
+++ b/modules/av_grants/grant_server.cpp
@@ -28,14 +28,16 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-// Clients close connections that they have not used for a shorter time, so that
-// they don't lose a query to a connection that ends here.
+// Clients don't use a connection again that was idle for half of this time, so
+// that they don't lose a query to a connection that ends here.
 constexpr milliseconds max_idle_time{60000.0};
 // A client that takes longer to send a message or to receive one is
 // disconnected.
 constexpr milliseconds max_transfer_time{2000.0};
 // Bounds what a client that does not read its replies takes up.
 constexpr int send_buffer_bytes = 64 * 1024;
+// Delay at most with which overdue connections are closed, and with which
+// connections are accepted again after a failure.
 constexpr milliseconds sweep_interval{1000.0};
 
 // Returns the time, or the longest one that a reply may have: a client refuses
@@ -328,7 +330,8 @@
             });
     }
 
-    // Closes connections on which too little happens.
+    // Closes connections on which too little happens, removes idle buckets, and
+    // accepts connections again if that has failed.
     void sweep()
     {
         const auto now = monotonic_now();
--- a/modules/av_grants/grantor_pool.cpp
+++ b/modules/av_grants/grantor_pool.cpp
@@ -18,8 +18,8 @@
 
 // Time after which the next grantor is asked.
 constexpr milliseconds response_timeout{60.0};
-// An older connection is not used again, because the grantor closes connections
-// after a longer time.
+// A connection that was idle for longer is not used again: the grantor closes
+// it after 60 s, and a query sent at that moment would be lost.
 constexpr milliseconds max_idle_time{30000.0};
 
 permit_query to_message(const open_query& query, std::uint64_t id)
--- a/modules/av_grants/permit_client.hpp
+++ b/modules/av_grants/permit_client.hpp
@@ -67,9 +67,10 @@
     permit_client(const permit_client&) = delete;
     permit_client& operator=(const permit_client&) = delete;
 
-    // Takes a permit. Calls back exactly once, before it returns if it holds a
-    // permit or knows that there is none, otherwise when grantors have
-    // responded or the time for this has passed.
+    // Takes a permit. Calls back exactly once, unless the client is destroyed
+    // first: before it returns if it holds a permit or knows that there is
+    // none, otherwise when grantors have responded or the time for this has
+    // passed.
     void acquire(const limit_key& key, std::function<void(permit_answer)> done);
 
     // Returns a permit that was not used, with the expiry of its answer.
--- a/modules/av_grants/permit_client_state.hpp
+++ b/modules/av_grants/permit_client_state.hpp
@@ -17,7 +17,9 @@
 namespace anvilturn
 {
 
-// A grantor that did not respond is not asked for this long.
+// A grantor that did not respond is not asked for this long, since each query
+// that tries it makes calls wait for the time-out. Shorter than the 2 s within
+// which one that was restarted must be in use again.
 constexpr milliseconds unreachable_retry_interval{500.0};
 
 using permit_callback = std::function<void(permit_answer)>;
--- a/modules/av_grants/tests/grant_codec_test.cpp
+++ b/modules/av_grants/tests/grant_codec_test.cpp
@@ -55,6 +55,8 @@
 
 BOOST_AUTO_TEST_SUITE(grant_codec_test)
 
+// Guards against a member that is not sent: the grantor would decide on its
+// default.
 BOOST_AUTO_TEST_CASE(a_query_keeps_its_members)
 {
     const auto sent = make_query();
@@ -74,6 +76,7 @@
     }
 }
 
+// Guards against a member that is not sent: the VM would use its default.
 BOOST_AUTO_TEST_CASE(a_reply_keeps_its_members)
 {
     const auto sent = make_reply();
@@ -226,6 +229,8 @@
     BOOST_TEST(second_after_0[2] > 400);
 }
 
+// Guards against VMs that list the grantors in another order and then all begin
+// with the same one.
 BOOST_AUTO_TEST_CASE(the_order_does_not_depend_on_that_of_the_addresses)
 {
     const limit_key key{limit_kind::account, "school"};
--- a/modules/av_grants/tests/grant_server_test.cpp
+++ b/modules/av_grants/tests/grant_server_test.cpp
@@ -111,6 +111,8 @@
     BOOST_TEST((answer.retry_after_ <= max_grant_time));
 }
 
+// Guards against a VM that starts although it can't give the permits of its
+// shares.
 BOOST_AUTO_TEST_CASE(a_server_refuses_an_address_that_is_in_use)
 {
     const auto address = add_server(always(ample_limit()));
--- a/modules/av_grants/tests/permit_client_test.cpp
+++ b/modules/av_grants/tests/permit_client_test.cpp
@@ -183,6 +183,7 @@
     BOOST_TEST(is_granted(acquire()));
 }
 
+// Guards against calls above the limit where no grantor is configured.
 BOOST_AUTO_TEST_CASE(without_grantors_nothing_is_granted)
 {
     start_client({});
--- a/modules/av_http/tests/account_fields_test.cpp
+++ b/modules/av_http/tests/account_fields_test.cpp
@@ -110,6 +110,8 @@
 
 BOOST_AUTO_TEST_SUITE(account_fields)
 
+// Guards against fields that pass in another letter case, twice, or named in
+// Connection.
 BOOST_AUTO_TEST_CASE(key_and_forged_account_are_never_forwarded)
 {
     const auto dialect = dialect_with_accounts();
@@ -178,6 +180,7 @@
     BOOST_TEST(!reader.head().api_key_repeated_);
 }
 
+// Guards against a dialect whose fields of key and account are forwarded.
 BOOST_AUTO_TEST_CASE(the_native_dialect_drops_both_fields)
 {
     const auto head = read_head("GET /a HTTP/1.1\r\nHost: h\r\n"
--- a/modules/av_net/message_frame.hpp
+++ b/modules/av_net/message_frame.hpp
@@ -10,7 +10,8 @@
 // Size of the length field before each message, a little-endian number that
 // counts the bytes after it.
 constexpr std::size_t frame_header_bytes = 4;
-// Longer messages are rejected.
+// Longer messages of the replication are rejected; protocols with shorter
+// messages have limits of their own.
 constexpr std::size_t max_frame_bytes = 16 * 1024 * 1024;
 
 // Returns the number of bytes that follow the frame header.
--- a/modules/av_net/tests/message_frame_test.cpp
+++ b/modules/av_net/tests/message_frame_test.cpp
@@ -64,6 +64,7 @@
     BOOST_TEST((kind_of(read.status()) == error_kind::peer_malformed));
 }
 
+// Guards against reads beyond the end of a body.
 BOOST_AUTO_TEST_CASE(bodies_without_a_message_are_refused)
 {
     for (const std::string_view body :
--- a/modules/av_proxy/proxied_call_permits.cpp
+++ b/modules/av_proxy/proxied_call_permits.cpp
@@ -13,6 +13,7 @@
 {
 
 // Returns whether the quota of the account allows the call to be sent now.
+// Discards a permit that has expired or was spent by an earlier attempt.
 bool proxied_call::has_account_permit()
 {
     if (account_ == nullptr || worker_.permits() == nullptr ||
--- a/modules/av_proxy/tests/accounts_test.cpp
+++ b/modules/av_proxy/tests/accounts_test.cpp
@@ -87,6 +87,7 @@
 
 BOOST_AUTO_TEST_SUITE(accounts)
 
+// Guards against calls that run without a valid key, or with an ambiguous one.
 BOOST_AUTO_TEST_CASE(calls_without_one_known_key_get_401)
 {
     scripted_target target;
@@ -135,6 +136,8 @@
                "HTTP/1.1 503 Service Unavailable not-run vm_not_ready");
 }
 
+// Guards against a key, or an account that the caller made up, that reaches a
+// target.
 BOOST_AUTO_TEST_CASE(targets_learn_the_account_and_not_the_key)
 {
     scripted_target target;
@@ -151,6 +154,8 @@
     }
 }
 
+// Guards against callers without a known key that are refused on a public rule,
+// and against a forged account that reaches a target there.
 BOOST_AUTO_TEST_CASE(public_rules_need_no_key)
 {
     scripted_target target;
@@ -173,6 +178,7 @@
     }
 }
 
+// Guards against deployments without accounts that refuse calls.
 BOOST_AUTO_TEST_CASE(a_release_without_accounts_needs_no_key)
 {
     scripted_target target;
@@ -293,6 +299,8 @@
     BOOST_TEST(contains(connection.read_header(), "GET /kits/low "));
 }
 
+// Guards against a caller, or a VM of another deployment, that calls on behalf
+// of any account.
 BOOST_AUTO_TEST_CASE(only_a_vm_of_the_deployment_may_set_the_account)
 {
     scripted_target target;
@@ -323,6 +331,7 @@
                         "\r\nAnvilturn-Account: lestari\r\n"));
 }
 
+// Guards against calls that are counted for no account, or for another one.
 BOOST_AUTO_TEST_CASE(calls_are_counted_by_account)
 {
     scripted_target target;
--- a/modules/av_proxy/tests/evacuation_test.cpp
+++ b/modules/av_proxy/tests/evacuation_test.cpp
@@ -58,6 +58,7 @@
 
 BOOST_AUTO_TEST_SUITE(evacuation_suite)
 
+// Guards against calls in a region that only one of the two lists allows.
 BOOST_AUTO_TEST_CASE(region_limits_of_several_lists_all_apply)
 {
     region_limit limit;
@@ -107,6 +108,7 @@
         });
 }
 
+// Guards against an evacuation that ends running calls.
 BOOST_AUTO_TEST_CASE(calls_at_an_evacuated_target_complete)
 {
     scripted_target in_a;
@@ -121,6 +123,7 @@
     BOOST_TEST(outcome_of(caller.read_header()) == "answered");
 }
 
+// Guards against load queries that depend on machines which are to be cut off.
 BOOST_AUTO_TEST_CASE(load_queries_are_not_sent_to_evacuated_targets)
 {
     scripted_target in_a;
@@ -134,6 +137,8 @@
     BOOST_TEST(!in_a.has_pending_connection());
 }
 
+// Guards against a call that waits for its deadline although no target may run
+// it.
 BOOST_AUTO_TEST_CASE(a_call_without_any_target_left_is_refused_at_once)
 {
     for (const char* policy : {"least_load", "ask_first"})
@@ -174,6 +179,7 @@
     BOOST_TEST(outcome_of(running.read_header()) == "answered");
 }
 
+// Guards against calls that run in a region where they must not.
 BOOST_AUTO_TEST_CASE(a_rule_is_restricted_to_its_regions)
 {
     scripted_target in_a;
--- a/modules/av_proxy/tests/permits_test.cpp
+++ b/modules/av_proxy/tests/permits_test.cpp
@@ -62,6 +62,7 @@
 
 BOOST_AUTO_TEST_SUITE(permits)
 
+// Guards against calls beyond the quota, and against refusals within it.
 BOOST_AUTO_TEST_CASE(calls_within_the_quota_are_served_and_others_get_429)
 {
     test_grantor grantor(always(two_permits()));
@@ -209,6 +210,7 @@
     return read_result(caller);
 }
 
+// Guards against runs beyond the quota by further attempts.
 BOOST_AUTO_TEST_CASE(an_attempt_after_one_that_may_have_run_needs_a_new_permit)
 {
     test_grantor grantor(always(two_permits()));
--- a/modules/av_proxy/tests/response_buffer_limit_test.cpp
+++ b/modules/av_proxy/tests/response_buffer_limit_test.cpp
@@ -8,6 +8,7 @@
 
 BOOST_AUTO_TEST_SUITE(response_buffer_limits)
 
+// Guards against small reads, which cost CPU time, while memory is ample.
 BOOST_AUTO_TEST_CASE(a_few_calls_have_the_whole_buffer)
 {
     request_path_settings settings;
@@ -18,6 +19,7 @@
                settings.relay_buffer_bytes_);
 }
 
+// Guards against memory that grows with the calls.
 RC_BOOST_PROP(all_calls_together_keep_the_limit, ())
 {
     constexpr int max_threads = 64;
--- a/modules/av_proxy/tests/routing_table_test.cpp
+++ b/modules/av_proxy/tests/routing_table_test.cpp
@@ -222,9 +222,6 @@
                moved->find_service("kits")->state_);
 }
 
-// Each change of a target builds a table on every VM. Its cost must not grow
-// with the rules, of which a release may have thousands: the table takes them
-// from the matcher and needs none of the release's.
 // Guards against calls that overload a cold target: the information that
 // arrived last counts, but an entry that is still on its way when the target
 // becomes cold again doesn't make it warm.
@@ -264,6 +261,9 @@
     BOOST_TEST(!is_cold(state, milliseconds(4700.0)));
 }
 
+// Each change of a target builds a table on every VM. Its cost must not grow
+// with the rules, of which a release may have thousands: the table takes them
+// from the matcher and needs none of the release's.
 BOOST_AUTO_TEST_CASE(a_table_needs_no_rules_but_the_shared_matcher)
 {
     auto value = make_release("127.0.0.1:1");
--- a/modules/av_proxy/tests/stop_test.cpp
+++ b/modules/av_proxy/tests/stop_test.cpp
@@ -154,6 +154,8 @@
     stopping.expect_answer("unknown deadline_exceeded", finished);
 }
 
+// Guards against a call that is sent to a target though it can't end before the
+// VM does, so that its caller would not know whether it has run.
 BOOST_AUTO_TEST_CASE(a_call_whose_usual_work_does_not_fit_is_refused)
 {
     long_call_vm stopping;
--- a/modules/av_quota/fleet_limit.hpp
+++ b/modules/av_quota/fleet_limit.hpp
@@ -22,7 +22,7 @@
     milliseconds account_window_{0.0};
     double account_overrun_ = 0.0;
     double account_slack_ = 0.0;
-    // Zero if cold targets are not limited.
+    // Both zero if cold targets are not limited.
     double cold_overrun_ = 0.0;
     double cold_slack_ = 0.0;
 
@@ -77,7 +77,8 @@
     }
 };
 
-// Returns the limit of an account; nothing if it or the platform sets none.
+// Returns the limit of an account; nothing if the account or the platform sets
+// none.
 std::optional<fleet_limit> account_limit(const account_spec& account,
                                          const limit_bounds& bounds);
 
--- a/modules/av_replication/tests/evacuation_test.cpp
+++ b/modules/av_replication/tests/evacuation_test.cpp
@@ -103,6 +103,8 @@
     BOOST_TEST((fixture.updates_[0].evacuated_domains_ == names{"b"}));
 }
 
+// Guards against an evacuation that subscribers miss, and against heartbeats
+// that grow with the evacuations.
 BOOST_AUTO_TEST_CASE(changed_evacuations_are_named_and_heartbeats_name_none)
 {
     evacuation_fixture fixture;
@@ -137,6 +139,7 @@
     BOOST_TEST((fixture.updates_.back().evacuated_domains_ == names{"b"}));
 }
 
+// Guards against a subscriber that takes "not read" for "none".
 BOOST_AUTO_TEST_CASE(a_watcher_without_evacuations_names_none)
 {
     evacuation_fixture fixture;
--- a/modules/av_replication/tests/update_codec_test.cpp
+++ b/modules/av_replication/tests/update_codec_test.cpp
@@ -61,6 +61,7 @@
     BOOST_TEST((received.release_->services_ == sent.services_));
 }
 
+// Guards against cold targets that are warm for VMs with a watcher.
 BOOST_AUTO_TEST_CASE(a_target_keeps_how_long_it_is_cold)
 {
     target_change change;
--- a/modules/av_settings/tests/settings_test.cpp
+++ b/modules/av_settings/tests/settings_test.cpp
@@ -170,6 +170,7 @@
     BOOST_TEST((*empty == *absent));
 }
 
+// Guards against a bound that is left at its default.
 BOOST_AUTO_TEST_CASE(fleet_limits_are_read)
 {
     const auto result = parse_settings(
@@ -313,6 +314,7 @@
     BOOST_TEST(found);
 }
 
+// Guards against evacuations and regions that are set but have no effect.
 BOOST_AUTO_TEST_CASE(evacuations_and_regions_are_read)
 {
     const auto none = parse_settings(minimal_settings, "vm.yaml");
@@ -332,6 +334,7 @@
     BOOST_TEST((*none != *result));
 }
 
+// Guards against a typing error by which a failure domain belongs to no region.
 BOOST_AUTO_TEST_CASE(invalid_regions_are_rejected)
 {
     for (const char* regions : {"[a]", "text", "{a: }", "{a: [b]}", "{a: {}}"})
