Don't rely on watchers that leave out accounts, and keep one request for a cold target

From the reading of the diff: a watcher of an earlier version sends a release without accounts, which subscribers took for one that has none, so they would have accepted calls without a key until the next version. Releases now say that they list accounts. A thread requests one permit for cold targets of a service at a time, and a refused one rules a target out for 50 ms at most; policies that do not ask for such permits treat cold targets as others.

--- a/modules/av_core/log_event.cpp
+++ b/modules/av_core/log_event.cpp
@@ -278,7 +278,11 @@
     std::replace(name.begin(), name.end(), '%', '_');
     el::Configurations configuration;
     configuration.setToDefault();
-    process_name_in_lines = name;
+    // Threads that log may be reading it, and it is the same each time.
+    if (process_name_in_lines != name)
+    {
+        process_name_in_lines = name;
+    }
     configuration.setGlobally(el::ConfigurationType::ToFile, "false");
     configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
     configuration.setGlobally(el::ConfigurationType::Format,
--- a/modules/av_daemon/fleet_grants.cpp
+++ b/modules/av_daemon/fleet_grants.cpp
@@ -59,7 +59,9 @@
 void fleet_grants::set_targets(
     const std::map<std::string, target_spec>& targets)
 {
-    if (!server_ || bounds_.cold_overrun_ <= 0.0)
+    const bool limits_cold_targets =
+        bounds_.cold_overrun_ > 0.0 || bounds_.cold_slack_ > 0.0;
+    if (!server_ || !limits_cold_targets)
     {
         return;
     }
--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -28,7 +28,8 @@
 
 // A watcher checks often, because its subscribers ignore its updates once the
 // store's last response is older than max_store_response_age, and because it
-// has no other source of changes.
+// has another source of changes only once the store has not answered it for a
+// while; see watcher_fallback.
 constexpr store_call_intervals watcher_call_intervals{milliseconds(400.0),
                                                       milliseconds(100.0),
                                                       milliseconds(300.0),
@@ -320,7 +321,12 @@
         {
             return false;
         }
-        // A watcher that does not read the evacuations can't be relied on.
+        // A watcher can't be relied on if it leaves out accounts, as its
+        // subscribers would accept calls without a key, or evacuations.
+        if (update.release_lacks_accounts_)
+        {
+            return false;
+        }
         evacuations_named_ = evacuations_named_ || update.evacuated_domains_;
         if (follows_evacuations_ && !evacuations_named_)
         {
@@ -434,7 +440,11 @@
 
     bool apply_fallback_update(const registry_update& update)
     {
-        if (update.store_revision_ < replica_.revision())
+        const bool lacks_evacuations = follows_evacuations_ &&
+                                       update.is_snapshot_ &&
+                                       !update.evacuated_domains_;
+        if (update.store_revision_ < replica_.revision() ||
+            update.release_lacks_accounts_ || lacks_evacuations)
         {
             return false;
         }
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -78,6 +78,8 @@
     milliseconds unslowed_awaited_since_;
     // Load queries that may still be sent; refilled by each call and each tick.
     double load_query_tokens_ = 0.0;
+    // Whether a permit for a cold target is being requested.
+    bool requests_cold_permit_ = false;
 };
 
 // One thread of the request path with its connections and queues. All members
@@ -194,8 +196,6 @@
     struct cold_permit
     {
         milliseconds expires_at_{0.0};
-        // Whether one is being requested.
-        bool requested_ = false;
         // No grantor has one before this point in time.
         milliseconds refused_until_{0.0};
     };
@@ -205,7 +205,9 @@
     bool awaits_cold_permit(const service_entry& service,
                             const proxied_call& call);
     bool has_cold_target(const service_entry& service) const;
-    void on_cold_permit(const std::string& target, const permit_answer& answer);
+    void on_cold_permit(const std::string& service,
+                        const std::string& target,
+                        const permit_answer& answer);
     void drop_expired_cold_permits();
     bool has_idle_connection(const target_entry& target) const;
     std::size_t waiting_with(const service_entry& service,
--- a/modules/av_proxy/worker_permits.cpp
+++ b/modules/av_proxy/worker_permits.cpp
@@ -10,6 +10,14 @@
 
 namespace anvilturn
 {
+namespace
+{
+
+// The time after which permits are expected takes callers into account that may
+// not return, and a target is cold for a few seconds only.
+constexpr milliseconds max_refusal_time{50.0};
+
+} // namespace
 
 permit_client* worker::permits()
 {
@@ -18,7 +26,8 @@
 
 bool worker::limits_cold_targets(const service_entry& service) const
 {
-    return permits_ != nullptr &&
+    return permits_ != nullptr && service.policy_ != nullptr &&
+           service.policy_->choose_cold_target_ != nullptr &&
            cold_target_limit(service.spec_, core_.settings_.limit_bounds_);
 }
 
@@ -50,9 +59,7 @@
 bool worker::awaits_cold_permit(const service_entry& service,
                                 const proxied_call& call)
 {
-    if (service.policy_ == nullptr ||
-        service.policy_->choose_cold_target_ == nullptr ||
-        !limits_cold_targets(service) || !has_cold_target(service))
+    if (!limits_cold_targets(service) || !has_cold_target(service))
     {
         return false;
     }
@@ -64,19 +71,22 @@
     {
         return false;
     }
-    const auto name = service.targets_[*index].spec_.name_;
-    if (std::exchange(cold_permits_[name].requested_, true))
+    // One request for each service at a time: the next call of the queue would
+    // name another target, and permits that are not used soon are lost.
+    auto& worker_state = worker_state_of(service);
+    if (std::exchange(worker_state.requests_cold_permit_, true))
     {
         return true;
     }
+    const auto name = service.targets_[*index].spec_.name_;
     permits_->acquire(
         {limit_kind::cold_target, name},
         [this, name, state = service.state_](const permit_answer& answer)
         {
-            on_cold_permit(name, answer);
+            on_cold_permit(state->name_, name, answer);
             post_dispatch_waiting(state);
         });
-    return cold_permits_[name].requested_;
+    return worker_state.requests_cold_permit_;
 }
 
 bool worker::has_cold_target(const service_entry& service) const
@@ -89,18 +99,24 @@
                        });
 }
 
-void worker::on_cold_permit(const std::string& target,
+void worker::on_cold_permit(const std::string& service,
+                            const std::string& target,
                             const permit_answer& answer)
 {
+    if (const auto found = worker_states_.find(service);
+        found != worker_states_.end())
+    {
+        found->second->requests_cold_permit_ = false;
+    }
     auto& permit = cold_permits_[target];
-    permit.requested_ = false;
     if (answer.result_ == permit_result::granted)
     {
         permit.expires_at_ = answer.expires_at_;
         permit.refused_until_ = milliseconds(0.0);
         return;
     }
-    permit.refused_until_ = monotonic_now() + answer.retry_after_;
+    permit.refused_until_ =
+        monotonic_now() + std::min(answer.retry_after_, max_refusal_time);
 }
 
 std::optional<milliseconds> worker::take_cold_permit(const target_entry& target)
@@ -123,8 +139,7 @@
                    [this](const auto& entry)
                    {
                        const auto& permit = entry.second;
-                       return !permit.requested_ &&
-                              permit.expires_at_ <= cached_now_ &&
+                       return permit.expires_at_ <= cached_now_ &&
                               permit.refused_until_ <= cached_now_;
                    });
 }
--- a/modules/av_replication/mirror.capnp
+++ b/modules/av_replication/mirror.capnp
@@ -81,6 +81,9 @@
   rules @1 :List(Rule);
   services @2 :List(Service);
   accounts @3 :List(Account);
+  # Whether accounts, regions and cold rates are listed. Watchers of versions
+  # that don't know these leave them out, which must not be read as none.
+  listsAccounts @4 :Bool;
 }
 
 # The changes since the previous message, from the watcher. Also sent without
--- a/modules/av_replication/mirror.capnp.h
+++ b/modules/av_replication/mirror.capnp.h
@@ -129,7 +129,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8ee29f12a631597d, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(8ee29f12a631597d, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -900,6 +900,8 @@
   inline bool hasAccounts() const;
   inline  ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>::Reader getAccounts() const;
 
+  inline bool getListsAccounts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -952,6 +954,9 @@
   inline void adoptAccounts(::capnp::Orphan< ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::anvilturn::wire::Account,  ::capnp::Kind::STRUCT>> disownAccounts();
 
+  inline bool getListsAccounts();
+  inline void setListsAccounts(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2181,6 +2186,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool StoreRelease::Reader::getListsAccounts() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool StoreRelease::Builder::getListsAccounts() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void StoreRelease::Builder::setListsAccounts(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Update::Reader::getEpoch() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/modules/av_replication/registry_update.hpp
+++ b/modules/av_replication/registry_update.hpp
@@ -52,6 +52,9 @@
     std::vector<target_change> changes_;
     // Null unless it is newer than the release of the receiver.
     std::shared_ptr<const release> release_;
+    // Whether the release was sent by a watcher of a version that does not know
+    // accounts, so that it can't be told whether there are any.
+    bool release_lacks_accounts_ = false;
     // Addresses of the standbys: subscribers that watch the store themselves
     // and serve others if the watchers can't. Nothing if they are as before.
     std::optional<std::vector<std::string>> standbys_;
--- a/modules/av_replication/tests/update_codec_test.cpp
+++ b/modules/av_replication/tests/update_codec_test.cpp
@@ -1,7 +1,10 @@
+#include <av_net/capnp_frame.hpp>
+#include <av_replication/mirror.capnp.h>
 #include <av_replication/update_codec.hpp>
 
 #include <boost/test/unit_test.hpp>
 
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -59,6 +62,34 @@
     BOOST_TEST((received.release_->accounts_ == sent.accounts_));
     BOOST_TEST((received.release_->rules_ == sent.rules_));
     BOOST_TEST((received.release_->services_ == sent.services_));
+    BOOST_TEST(!received.release_lacks_accounts_);
+}
+
+// During an update of the VMs a watcher of an earlier version leaves accounts
+// out. Read as a release without accounts, it would let callers in without a
+// key.
+BOOST_AUTO_TEST_CASE(a_release_of_an_earlier_version_is_marked)
+{
+    capnp::MallocMessageBuilder message;
+    message.initRoot<wire::Update>().initRelease().setVersion(7);
+    const auto received = decode(to_frame(message));
+    BOOST_REQUIRE(received.release_ != nullptr);
+    BOOST_TEST(received.release_lacks_accounts_);
+}
+
+BOOST_AUTO_TEST_CASE(numbers_that_no_vm_sends_are_read_as_zero)
+{
+    capnp::MallocMessageBuilder message;
+    auto account =
+        message.initRoot<wire::Update>().initRelease().initAccounts(1)[0];
+    account.setName("school");
+    account.setRatePerSecond(std::numeric_limits<double>::infinity());
+    account.setBurst(std::numeric_limits<double>::quiet_NaN());
+    const auto received = decode(to_frame(message));
+    BOOST_REQUIRE(received.release_ != nullptr);
+    const auto& read = received.release_->accounts_.at("school");
+    BOOST_TEST(read.rate_per_second_ == 0.0);
+    BOOST_TEST(read.burst_ == 0.0);
 }
 
 // Guards against cold targets that are warm for VMs with a watcher.
--- a/modules/av_replication/update_codec.cpp
+++ b/modules/av_replication/update_codec.cpp
@@ -4,6 +4,7 @@
 #include <av_replication/mirror.capnp.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace anvilturn
@@ -32,6 +33,12 @@
     return result;
 }
 
+// Returns zero for numbers that no VM sends.
+double read_amount(double value)
+{
+    return std::isfinite(value) && value > 0.0 ? value : 0.0;
+}
+
 traffic_class read_class(std::uint8_t value)
 {
     constexpr auto lowest_class =
@@ -74,7 +81,7 @@
     spec.slots_ = std::max(1, reader.getSlots());
     spec.draining_ = reader.getDraining();
     spec.incarnation_ = reader.getIncarnation();
-    spec.cold_for_ = milliseconds(reader.getColdForMs());
+    spec.cold_for_ = milliseconds(read_amount(reader.getColdForMs()));
     change.object_.value_ = std::move(spec);
     return change;
 }
@@ -150,8 +157,8 @@
     {
         account.class_ = read_class(reader.getTrafficClass());
     }
-    account.rate_per_second_ = reader.getRatePerSecond();
-    account.burst_ = reader.getBurst();
+    account.rate_per_second_ = read_amount(reader.getRatePerSecond());
+    account.burst_ = read_amount(reader.getBurst());
     account.allowed_regions_ =
         read_texts<std::vector<std::string>>(reader.getAllowedRegions());
     return account;
@@ -176,6 +183,7 @@
         services[index++].setColdRatePerSecond(
             service.second.cold_rate_per_second_);
     }
+    builder.setListsAccounts(true);
     auto accounts =
         builder.initAccounts(static_cast<unsigned>(value.accounts_.size()));
     index = 0;
@@ -201,7 +209,8 @@
         auto service = defaults;
         service.name_ = to_string(entry.getName());
         service.health_path_ = to_string(entry.getHealthPath());
-        service.cold_rate_per_second_ = entry.getColdRatePerSecond();
+        service.cold_rate_per_second_ =
+            read_amount(entry.getColdRatePerSecond());
         value.services_[service.name_] = service;
     }
     for (const auto entry : reader.getAccounts())
@@ -311,6 +320,8 @@
             {
                 update.release_ = std::make_shared<const release>(
                     read_release(reader.getRelease(), defaults));
+                update.release_lacks_accounts_ =
+                    !reader.getRelease().getListsAccounts();
             }
             if (reader.getNamesStandbys())
             {
