Call back refused permits from the event loop

Callbacks of other requests now always come from the event loop. a_refusal_is_called_back_from_the_event_loop fails before.

--- a/modules/av_grants/permit_client.cpp
+++ b/modules/av_grants/permit_client.cpp
@@ -75,7 +75,8 @@
         {
             permit_answer answer;
             answer.retry_after_ = overload_retry_time;
-            call({std::move(done), answer});
+            due_.push_back({std::move(done), answer});
+            post_due();
             return;
         }
         if (const auto expires_at = take_permit(limit->stock_, now))
@@ -88,7 +89,9 @@
             limit->waiting_.push_back(std::move(done));
             request_more(limit, now);
         }
-        call_due();
+        // Not from here: the callbacks of other calls would run in the middle
+        // of what this caller does.
+        post_due();
     }
 
     void give_back(const limit_key& key, milliseconds expires_at)
--- a/modules/av_grants/permit_client.hpp
+++ b/modules/av_grants/permit_client.hpp
@@ -68,9 +68,9 @@
     permit_client& operator=(const permit_client&) = delete;
 
     // Takes a permit. Calls back exactly once, unless the client is destroyed
-    // first: before it returns if it holds a permit or knows that there is
-    // none, otherwise when grantors have responded or the time for this has
-    // passed.
+    // first: before it returns if it holds a permit, otherwise from the event
+    // loop when grantors have responded or the time for this has passed.
+    // Callbacks of other requests are never called before it returns.
     void acquire(const limit_key& key, std::function<void(permit_answer)> done);
 
     // Returns a permit that was not used, with the expiry of its answer.
--- a/modules/av_grants/tests/permit_client_test.cpp
+++ b/modules/av_grants/tests/permit_client_test.cpp
@@ -171,6 +171,27 @@
     BOOST_TEST(counters_->over_limit_ == 2U);
 }
 
+// A caller that asks for a permit is in the middle of something: callbacks of
+// other calls, run from there, changed what it used next, and a VM crashed.
+BOOST_AUTO_TEST_CASE(a_refusal_is_called_back_from_the_event_loop)
+{
+    start_client({add_server(always(tiny_limit()))});
+    BOOST_TEST(!is_granted(acquire()));
+    // Now known without a query.
+    bool is_called = false;
+    client_->acquire(school,
+                     [&is_called](const permit_answer&)
+                     {
+                         is_called = true;
+                     });
+    BOOST_TEST(!is_called);
+    BOOST_TEST(run_until(
+        [&is_called]
+        {
+            return is_called;
+        }));
+}
+
 // A grantor with an older release does not know a new account; the call must
 // not be refused as one over its limit.
 BOOST_AUTO_TEST_CASE(an_unknown_limit_is_unavailable)
