--- a/modules/av_settings/settings_fields.cpp
+++ b/modules/av_settings/settings_fields.cpp
@@ -140,8 +140,12 @@
     field.read_ = [](const yaml_value& value, vm_settings& into)
     {
         auto regions = parse_text_map(value);
-        into.regions_ = std::move(regions).value_or(into.regions_);
-        return regions.has_value();
+        if (!regions)
+        {
+            return false;
+        }
+        into.regions_ = *std::move(regions);
+        return true;
     };
     field.is_valid_ = [](const vm_settings& from)
     {
