--- a/scripts/check-modules.sh
+++ b/scripts/check-modules.sh
@@ -27,7 +27,7 @@
   fi
 done
 # Only platform/ may use the names of the platform's headers, paths and fields.
-names='Backend-Signature|Expect-Instance|Not-Executed|Attempt-Id|routing_rules|warmup_left_ms|target_latency_ms|max_concurrency|readiness_addr|/-/objects'
+names='Backend-Signature|Expect-Instance|Not-Executed|Attempt-Id|routing_rules|warmup_left_ms|warmup_per_s|Warmup-Ms|Anvilturn-Tenant|Anvilturn-Key|api_keys|rate_per_s\b|target_latency_ms|max_concurrency|readiness_addr|/-/objects'
 if grep -rnE "$names" modules daemons benches standins --include='*.?pp'; then
   echo "modules: the platform's names stand outside platform/"; failed=1
 fi
