Let VMs keep a watcher that follows another one

That watcher followed another one 0.3 s after the store was back, but reported only its own contact with the store, so its subscribers went on searching. Each status query that had found no store doubled the backoff of the other watchers, so VMs that the store rejected too were without a source for 3 s more, and served an old configuration.

A watcher reports now, beside its own contact, that of the watcher it follows. Subscribers rely on the latter, watchers only on the former, so that they still can't follow each other in a circle. Ruled out: a shorter backoff, since up to eight status queries a second from each VM load the watchers during each outage of the store.

--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -100,8 +100,8 @@
                   is_watcher_,
                   [this]
                   {
-                      // A watcher reports for itself only, so that watchers
-                      // never follow each other in a circle.
+                      // Watchers must not follow one that follows another
+                      // watcher: they could follow each other in a circle.
                       return monotonic_now() - (is_watcher_
                                                     ? store_.answered_at()
                                                     : answered_at());
@@ -136,6 +136,11 @@
         }
         if (is_watcher_)
         {
+            server_.set_relayed_response_age(
+                [this]
+                {
+                    return monotonic_now() - answered_at();
+                });
             replica_.start_publishing();
         }
     }
@@ -286,7 +291,7 @@
         auto& watcher = watchers_[*watcher_];
         const auto now = monotonic_now();
         const bool store_reachable =
-            update.store_response_age_ <= max_store_response_age;
+            age_for_subscribers(update) <= max_store_response_age;
         watcher.failure_domain_ = update.failure_domain_;
         record_watcher_status(watcher, store_reachable, is_status_query_, now);
         if (is_status_query_)
@@ -294,7 +299,7 @@
             end_cause_ = subscription_end_cause::abandoned;
             return false;
         }
-        prepare_takeover(update.store_response_age_);
+        prepare_takeover(age_for_subscribers(update));
         if (!store_reachable)
         {
             return handle_unreachable_store(update, now);
@@ -303,7 +308,7 @@
         {
             return false;
         }
-        apply(update, now);
+        apply(update, age_for_subscribers(update), now);
         begin_receiving(update);
         return true;
     }
@@ -426,10 +431,11 @@
         return false;
     }
 
-    void apply(const registry_update& update, milliseconds now)
+    void apply(const registry_update& update,
+               milliseconds response_age,
+               milliseconds now)
     {
-        watcher_answered_at_ =
-            now - update.transfer_time_ - update.store_response_age_;
+        watcher_answered_at_ = now - update.transfer_time_ - response_age;
         replica_.record_answer(watcher_answered_at_);
         needs_snapshot_ = needs_snapshot_ && !update.is_snapshot_;
         position_.epoch_ = update.epoch_;
@@ -448,7 +454,7 @@
         {
             return false;
         }
-        apply(update, monotonic_now());
+        apply(update, update.store_response_age_, monotonic_now());
         return true;
     }
 
--- a/modules/av_feed/tests/registry_control_test.cpp
+++ b/modules/av_feed/tests/registry_control_test.cpp
@@ -8,10 +8,12 @@
 #include <av_feed/registry_control.hpp>
 #include <av_replication/registry_publisher.hpp>
 #include <av_replication/registry_subscriber.hpp>
+#include <av_replication/replication_timing.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -45,6 +47,11 @@
                       return store_response_age_;
                   })
     {
+        server_.set_relayed_response_age(
+            [this]
+            {
+                return std::min(store_response_age_, relayed_response_age_);
+            });
         BOOST_TEST_REQUIRE(server_.start(address).ok());
     }
 
@@ -65,6 +72,8 @@
     }
 
     milliseconds store_response_age_ = recent_response_age;
+    // Time since the store answered a watcher that this one follows.
+    milliseconds relayed_response_age_ = stale_response_age;
     registry_publisher server_;
 };
 
@@ -101,6 +110,7 @@
         standbys_ = update.standbys_.value_or(standbys_);
         version_ = update.release_ ? update.release_->version_ : version_;
         store_response_age_ = update.store_response_age_;
+        age_for_subscribers_ = age_for_subscribers(update);
         ++updates_;
         if (update.is_snapshot_)
         {
@@ -122,6 +132,7 @@
     release_version version_ = 0;
     int updates_ = 0;
     milliseconds store_response_age_;
+    milliseconds age_for_subscribers_;
     registry_subscriber client_;
 };
 
@@ -421,7 +432,7 @@
         {
             return vm.control_->state().version_ == 5U;
         });
-    // Its own subscribers must not take it for a source.
+    // Its own subscribers keep it, whereas a watcher must not follow it.
     plain_subscriber other(vm.context_, "127.0.30.13:28713");
     other.subscribe("");
     vm.run_until(
@@ -430,6 +441,7 @@
             return other.updates_ > 0;
         });
     BOOST_TEST(other.store_response_age_.count() > 500.0);
+    BOOST_TEST((other.age_for_subscribers_ < max_store_response_age));
     vm.store_.down_ = false;
     vm.run_until(
         [&]
@@ -438,6 +450,27 @@
         });
 }
 
+// A VM that the store turns away, as it does its watcher, would otherwise
+// search for other watchers until their backoff is over, and accept revoked
+// keys or call removed targets for as long.
+BOOST_AUTO_TEST_CASE(a_vm_keeps_a_watcher_that_follows_another_one)
+{
+    subscribed_vm vm;
+    vm.run_until_subscribed_to(vm.local_watcher_);
+    vm.store_.down_ = true;
+    vm.cut_watchers_off();
+    vm.run_until_checked(1);
+    vm.local_watcher_.relayed_response_age_ = recent_response_age;
+    vm.run_until_subscribed_to(vm.local_watcher_);
+    vm.local_watcher_.publish(4, {"x"}, 11);
+    vm.run_until(
+        [&]
+        {
+            return vm.control_->state().version_ == 4U;
+        });
+    BOOST_TEST((vm.local_watcher_.store_response_age_ == stale_response_age));
+}
+
 // Guards against watchers without the store that follow each other, and take
 // each other's old state for the newest.
 BOOST_AUTO_TEST_CASE(watchers_do_not_follow_one_that_does_not_reach_the_store)
--- a/modules/av_replication/mirror.capnp
+++ b/modules/av_replication/mirror.capnp
@@ -112,4 +112,8 @@
   # them in its first message to a subscriber and when they change.
   namesEvacuations @10 :Bool;
   evacuatedDomains @11 :List(Text);
+  # Time since the store last answered the watcher, or another one that it
+  # follows while the store doesn't answer it. Negative if the watcher doesn't
+  # report it.
+  relayedSilentMs @12 :Int64 = -1;
 }
--- a/modules/av_replication/mirror.capnp.h
+++ b/modules/av_replication/mirror.capnp.h
@@ -144,7 +144,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(971515f098bbaeb6, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(971515f098bbaeb6, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1029,6 +1029,8 @@
   inline bool hasEvacuatedDomains() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEvacuatedDomains() const;
 
+  inline  ::int64_t getRelayedSilentMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1115,6 +1117,9 @@
   inline void adoptEvacuatedDomains(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEvacuatedDomains();
 
+  inline  ::int64_t getRelayedSilentMs();
+  inline void setRelayedSilentMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2481,6 +2486,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Update::Reader::getRelayedSilentMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Update::Builder::getRelayedSilentMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Update::Builder::setRelayedSilentMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 }  // namespace
 }  // namespace
 
--- a/modules/av_replication/registry_publisher.cpp
+++ b/modules/av_replication/registry_publisher.cpp
@@ -126,6 +126,11 @@
         notify(before);
     }
 
+    void set_relayed_response_age(std::function<milliseconds()> age)
+    {
+        composer_.set_relayed_response_age(std::move(age));
+    }
+
     void require_evacuations()
     {
         composer_.require_evacuations();
@@ -487,6 +492,12 @@
     implementation_->publish_release(std::move(value));
 }
 
+void registry_publisher::set_relayed_response_age(
+    std::function<milliseconds()> age)
+{
+    implementation_->set_relayed_response_age(std::move(age));
+}
+
 void registry_publisher::require_evacuations()
 {
     implementation_->require_evacuations();
--- a/modules/av_replication/registry_publisher.hpp
+++ b/modules/av_replication/registry_publisher.hpp
@@ -44,6 +44,11 @@
     // can't be used.
     absl::Status start(const std::string& address);
 
+    // The function returns the time since the store last answered this VM or a
+    // watcher that it follows, on which subscribers rely. Called before
+    // start(), if at all.
+    void set_relayed_response_age(std::function<milliseconds()> age);
+
     // Subscribers get contents only once the evacuations were published too.
     // Called before start(), if at all.
     void require_evacuations();
--- a/modules/av_replication/registry_update.hpp
+++ b/modules/av_replication/registry_update.hpp
@@ -47,6 +47,10 @@
     // Time since the store last answered the watcher, when it composed the
     // message.
     milliseconds store_response_age_;
+    // Time since the store last answered the watcher or another one that it
+    // follows; nothing if it doesn't report that. Watchers ignore it, so that
+    // they don't follow each other in a circle.
+    std::optional<milliseconds> relayed_response_age_;
     // How long the message took to arrive; zero at the watcher.
     milliseconds transfer_time_;
     std::vector<target_change> changes_;
@@ -63,6 +67,12 @@
     std::optional<std::set<std::string>> evacuated_domains_;
 };
 
+// Returns how old the store's contents at the watcher were for its subscribers.
+inline milliseconds age_for_subscribers(const registry_update& update)
+{
+    return update.relayed_response_age_.value_or(update.store_response_age_);
+}
+
 } // namespace anvilturn
 
 #endif
--- a/modules/av_replication/tests/update_codec_test.cpp
+++ b/modules/av_replication/tests/update_codec_test.cpp
@@ -65,6 +65,21 @@
     BOOST_TEST(!received.release_lacks_accounts_);
 }
 
+// A watcher of an earlier version does not report whom it follows, which must
+// not be read as a recent answer of the store.
+BOOST_AUTO_TEST_CASE(
+    the_age_for_subscribers_is_the_watchers_own_unless_reported)
+{
+    registry_update update;
+    update.store_response_age_ = milliseconds(5000.0);
+    BOOST_TEST((age_for_subscribers(decode(write_update(update))) ==
+                milliseconds(5000.0)));
+    update.relayed_response_age_ = milliseconds(7.0);
+    const auto received = decode(write_update(update));
+    BOOST_TEST((age_for_subscribers(received) == milliseconds(7.0)));
+    BOOST_TEST((received.store_response_age_ == milliseconds(5000.0)));
+}
+
 // During an update of the VMs a watcher of an earlier version leaves accounts
 // out. Read as a release without accounts, it would let callers in without a
 // key.
--- a/modules/av_replication/update_codec.cpp
+++ b/modules/av_replication/update_codec.cpp
@@ -222,6 +222,13 @@
     return value;
 }
 
+// Returns the time in whole milliseconds, within what a message can hold.
+std::uint32_t to_whole_ms(milliseconds time)
+{
+    constexpr double most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp(time.count(), 0.0, most));
+}
+
 } // namespace
 
 std::string write_subscription(const replication_position& position)
@@ -245,10 +252,11 @@
     builder.setWhole(update.is_snapshot_);
     builder.setFailureDomain(to_text(update.failure_domain_));
     builder.setStoreRevision(update.store_revision_);
-    builder.setStoreSilentMs(static_cast<std::uint32_t>(std::clamp(
-        update.store_response_age_.count(),
-        0.0,
-        static_cast<double>(std::numeric_limits<std::uint32_t>::max()))));
+    builder.setStoreSilentMs(to_whole_ms(update.store_response_age_));
+    if (update.relayed_response_age_)
+    {
+        builder.setRelayedSilentMs(to_whole_ms(*update.relayed_response_age_));
+    }
     auto targets =
         builder.initTargets(static_cast<unsigned>(update.changes_.size()));
     for (unsigned i = 0; i < targets.size(); ++i)
@@ -312,6 +320,11 @@
             update.store_revision_ = reader.getStoreRevision();
             update.store_response_age_ =
                 milliseconds(reader.getStoreSilentMs());
+            if (const auto age = reader.getRelayedSilentMs(); age >= 0)
+            {
+                update.relayed_response_age_ =
+                    milliseconds(static_cast<double>(age));
+            }
             for (const auto target : reader.getTargets())
             {
                 update.changes_.push_back(read_change(target));
--- a/modules/av_replication/update_composer.cpp
+++ b/modules/av_replication/update_composer.cpp
@@ -37,6 +37,12 @@
     log_.failure_domain_ = std::move(failure_domain);
 }
 
+void update_composer::set_relayed_response_age(
+    std::function<milliseconds()> age)
+{
+    measure_relayed_response_age_ = std::move(age);
+}
+
 void update_composer::set_targets(
     const std::map<std::string, registered_target>& targets,
     store_revision revision)
@@ -120,9 +126,14 @@
 {
     registry_update update;
     update.failure_domain_ = log_.failure_domain_;
-    update.store_response_age_ = has_complete_state()
-                                     ? measure_store_response_age_()
-                                     : no_store_response_age;
+    if (has_complete_state())
+    {
+        set_response_ages(update, no_delay);
+    }
+    else
+    {
+        update.store_response_age_ = no_store_response_age;
+    }
     return std::make_shared<const std::string>(write_update(update));
 }
 
@@ -140,8 +151,18 @@
 shared_frame update_composer::encode(registry_update update,
                                      milliseconds delay) const
 {
-    update.store_response_age_ = measure_store_response_age_() + delay;
+    set_response_ages(update, delay);
     return std::make_shared<const std::string>(write_update(update));
 }
 
+void update_composer::set_response_ages(registry_update& update,
+                                        milliseconds delay) const
+{
+    update.store_response_age_ = measure_store_response_age_() + delay;
+    if (measure_relayed_response_age_)
+    {
+        update.relayed_response_age_ = measure_relayed_response_age_() + delay;
+    }
+}
+
 } // namespace anvilturn
--- a/modules/av_replication/update_composer.hpp
+++ b/modules/av_replication/update_composer.hpp
@@ -31,6 +31,10 @@
     update_composer(std::string failure_domain,
                     std::function<milliseconds()> store_response_age);
 
+    // The function returns the time since the store last answered this VM or a
+    // watcher that it follows. Not reported, if this is not called.
+    void set_relayed_response_age(std::function<milliseconds()> age);
+
     void set_targets(const std::map<std::string, registered_target>& targets,
                      store_revision revision);
     void set_release(std::shared_ptr<const release> value);
@@ -77,7 +81,11 @@
                                       milliseconds delay) const;
     shared_frame encode(registry_update update, milliseconds delay) const;
 
+    // Sets both ages of the store's last response, as of the end of the delay.
+    void set_response_ages(registry_update& update, milliseconds delay) const;
+
     const std::function<milliseconds()> measure_store_response_age_;
+    std::function<milliseconds()> measure_relayed_response_age_;
     registry_log log_;
     std::optional<std::vector<std::string>> standbys_;
     bool requires_evacuations_ = false;
