Do not call a quota exceeded on the refusal of a minority of grantors

One that fits: a VM that has just started, or that the other grantors are cut off from, may reach only a grantor that has just started and has no permits yet, and its refusal counted as "the limit is reached".

The test names each such call.

--- a/modules/av_grants/permit_client.cpp
+++ b/modules/av_grants/permit_client.cpp
@@ -159,7 +159,8 @@
             return;
         }
         limit->is_asking_ = true;
-        limit->missed_grantor_ = false;
+        limit->missed_grantors_ = 0;
+        limit->refusing_grantors_ = 0;
         limit->refused_without_reserve_ = false;
         limit->is_reserve_round_ = false;
         limit->position_ = 0;
@@ -176,7 +177,7 @@
             const auto& refusal = limit->refusals_[index];
             if (pool_->is_skipped(index, now))
             {
-                limit->missed_grantor_ = true;
+                ++limit->missed_grantors_;
             }
             else if (refusal.until_ > now && !limit->is_reserve_round_)
             {
@@ -189,7 +190,7 @@
                 return;
             }
         }
-        const bool has_reserve = limit->missed_grantor_ &&
+        const bool has_reserve = limit->missed_grantors_ > 0 &&
                                  limit->refused_without_reserve_ &&
                                  !limit->is_reserve_round_;
         if (!has_reserve)
@@ -198,12 +199,15 @@
             return;
         }
         limit->is_reserve_round_ = true;
+        limit->missed_grantors_ = 0;
+        limit->refusing_grantors_ = 0;
         limit->position_ = 0;
         ask_next(limit, now);
     }
 
     static void note_refusal(client_limit& limit, milliseconds retry_at)
     {
+        ++limit.refusing_grantors_;
         limit.retry_at_ =
             std::min(limit.retry_at_.value_or(retry_at), retry_at);
     }
@@ -216,7 +220,11 @@
         answer.retry_after_ = unreachable_retry_interval;
         if (limit.retry_at_)
         {
-            answer.result_ = permit_result::over_limit;
+            // If most grantors could not be reached, the refusal of the others
+            // says little: one that has just started has no permits yet.
+            answer.result_ = limit.missed_grantors_ > limit.refusing_grantors_
+                                 ? permit_result::unavailable
+                                 : permit_result::over_limit;
             answer.retry_after_ =
                 std::max(*limit.retry_at_ - now, milliseconds(0.0));
             limit.stock_.refused_until_ =
@@ -285,7 +293,7 @@
     {
         for (const auto& limit : limits)
         {
-            limit->missed_grantor_ = true;
+            ++limit->missed_grantors_;
             ask_next(limit, now);
         }
     }
@@ -304,7 +312,8 @@
             query.requests_.push_back(
                 {limit,
                  std::min(wanted, max_permits_per_request),
-                 limit->missed_grantor_ || pool_->has_unreachable()});
+                 limit->is_reserve_round_ || limit->missed_grantors_ > 0 ||
+                     pool_->has_unreachable()});
         }
         pool_->send(index, std::move(query));
     }
@@ -326,7 +335,7 @@
         const auto now = monotonic_now();
         for (const auto& request : query.requests_)
         {
-            request.limit_->missed_grantor_ = true;
+            ++request.limit_->missed_grantors_;
             ask_next(request.limit_, now);
         }
         post_due();
--- a/modules/av_grants/permit_client.hpp
+++ b/modules/av_grants/permit_client.hpp
@@ -26,9 +26,9 @@
 enum class permit_result : std::uint8_t
 {
     granted,
-    // A grantor responded that the limit is reached.
+    // Grantors responded that the limit is reached.
     over_limit,
-    // No grantor that knows the limit responded.
+    // Too few grantors that know the limit responded.
     unavailable
 };
 
--- a/modules/av_grants/permit_client_state.hpp
+++ b/modules/av_grants/permit_client_state.hpp
@@ -64,8 +64,10 @@
     bool is_asking_ = false;
     // Position in the order of the grantor that is asked next.
     std::size_t position_ = 0;
-    // Whether a grantor could not be reached.
-    bool missed_grantor_ = false;
+    // Grantors that could not be reached, and grantors that refused, since the
+    // first one was asked in this round, or asked for its reserve.
+    std::size_t missed_grantors_ = 0;
+    std::size_t refusing_grantors_ = 0;
     // Whether a grantor that was asked without its reserve refused.
     bool refused_without_reserve_ = false;
     // Whether grantors are asked once more, for their reserve.
--- a/modules/av_grants/tests/grantor_failure_test.cpp
+++ b/modules/av_grants/tests/grantor_failure_test.cpp
@@ -58,6 +58,34 @@
     }
 }
 
+// A VM that has just started, or that the other grantors are cut off from, and
+// reaches only a grantor that has just started, must not tell a caller below
+// its quota that it is above it.
+BOOST_AUTO_TEST_CASE(the_refusal_of_a_minority_is_not_over_the_limit)
+{
+    const permit_grant refusal{0, milliseconds(0.0), milliseconds(200.0)};
+    const auto refuse = [&refusal](const permit_query& query)
+    {
+        return grant_each(query, refusal);
+    };
+    scripted_grantor refusing(context_, refuse);
+    scripted_grantor other_refusing(context_, refuse);
+    scripted_grantor silent(context_, no_reply);
+    scripted_grantor other_silent(context_, no_reply);
+    for (const char* name : {"a", "b", "c"})
+    {
+        const limit_key key{limit_kind::account, name};
+        start_client(
+            {refusing.address(), silent.address(), other_silent.address()});
+        const auto answer = acquire(key);
+        BOOST_TEST((answer.result_ == permit_result::unavailable));
+        BOOST_TEST((answer.retry_after_ > milliseconds(0.0)));
+        start_client(
+            {refusing.address(), silent.address(), other_refusing.address()});
+        BOOST_TEST((acquire(key).result_ == permit_result::over_limit));
+    }
+}
+
 // The permits of a lost answer are spent at the grantor. The VM must not count
 // them as its own, and must not wait for them.
 BOOST_AUTO_TEST_CASE(after_a_lost_answer_the_next_grantor_is_asked)
