--- a/modules/av_replication/registry_publisher.cpp
+++ b/modules/av_replication/registry_publisher.cpp
@@ -1,24 +1,18 @@
 #include <av_replication/registry_publisher.hpp>
 
 #include <av_core/error.hpp>
-#include <av_core/log_event.hpp>
-#include <av_core/monotonic_clock.hpp>
 #include <av_net/duration.hpp>
 #include <av_net/endpoint.hpp>
 #include <av_registry/watcher_choice.hpp>
 #include <av_replication/replication_timing.hpp>
-#include <av_replication/update_codec.hpp>
+#include <av_replication/subscriber_session.hpp>
 #include <av_replication/update_composer.hpp>
 
 #include <absl/algorithm/container.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
 
-#include <array>
-#include <optional>
 #include <set>
 #include <sstream>
 #include <utility>
@@ -33,12 +27,8 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-// A subscriber that takes longer to read a message is disconnected.
-constexpr milliseconds max_send_time{20000.0};
-// Keeps updates from growing old in the send buffer of a slow link.
-constexpr int send_buffer_bytes = 64 * 1024;
 constexpr std::size_t max_subscribers = 1024;
-constexpr std::size_t max_subscription_bytes = 4096;
+
 } // namespace
 
 class registry_publisher::implementation
@@ -150,193 +140,6 @@
     }
 
 private:
-    // One subscriber.
-    class session : public std::enable_shared_from_this<session>
-    {
-    public:
-        session(implementation& owner, tcp::socket socket)
-            : owner_(owner)
-            , socket_(std::move(socket))
-        {
-        }
-
-        void start()
-        {
-            error_code ignored;
-            socket_.set_option(tcp::no_delay(true), ignored);
-            socket_.set_option(
-                asio::socket_base::send_buffer_size(send_buffer_bytes),
-                ignored);
-            asio::async_read(socket_,
-                             asio::buffer(header_),
-                             [self = shared_from_this()](
-                                 const error_code& error, std::size_t)
-                             {
-                                 self->on_header(error);
-                             });
-        }
-
-        // Sends the update, which follows the position that all subscribers
-        // have reached. A new subscriber instead gets all that it lacks once
-        // this watcher has the complete state, and until then status reports.
-        // While an earlier message is being sent, the update is left out and
-        // its contents follow in a new message: one that waits in a queue would
-        // be old when it arrives.
-        void notify(const shared_frame& update_frame)
-        {
-            if (!position_)
-            {
-                return;
-            }
-            if (frame_)
-            {
-                miss_update();
-                return;
-            }
-            if (is_up_to_date_)
-            {
-                position_ = owner_.composer_.position_after_update(*position_);
-                write(update_frame);
-                return;
-            }
-            send_missing();
-        }
-
-        void close()
-        {
-            error_code ignored;
-            socket_.close(ignored);
-        }
-
-        // Returns where the subscriber accepts subscribers itself; empty if it
-        // accepts none, or until its subscription has arrived.
-        std::string peer_address() const
-        {
-            return position_ ? position_->peer_address_ : std::string();
-        }
-
-    private:
-        void on_header(const error_code& error)
-        {
-            const auto length = frame_length({header_.data(), header_.size()});
-            if (error || length > max_subscription_bytes)
-            {
-                owner_.disconnect(shared_from_this());
-                return;
-            }
-            body_.resize(length);
-            asio::async_read(socket_,
-                             asio::buffer(body_),
-                             [self = shared_from_this()](
-                                 const error_code& failure, std::size_t)
-                             {
-                                 self->on_body(failure);
-                             });
-        }
-
-        void on_body(const error_code& error)
-        {
-            const auto position = read_subscription(body_);
-            if (error || !position.ok())
-            {
-                owner_.disconnect(shared_from_this());
-                return;
-            }
-            if (position->status_query_only_)
-            {
-                write(owner_.composer_.status_report());
-            }
-            else
-            {
-                position_ = *position;
-                notify(nullptr);
-                owner_.appoint_missing_standbys();
-            }
-            watch_for_close();
-        }
-
-        // A subscriber sends nothing after its subscription, so the socket
-        // becomes readable only when the connection ends.
-        void watch_for_close()
-        {
-            socket_.async_wait(tcp::socket::wait_read,
-                               [self = shared_from_this()](const error_code&)
-                               {
-                                   self->owner_.disconnect(self);
-                               });
-        }
-
-        void miss_update()
-        {
-            is_up_to_date_ = false;
-            missed_update_ = true;
-            if (monotonic_now() - send_began_at_ > max_send_time)
-            {
-                owner_.disconnect(shared_from_this());
-            }
-        }
-
-        // Sends what the subscriber lacks, or a status report while this
-        // watcher lacks it too.
-        void send_missing()
-        {
-            missed_update_ = false;
-            is_up_to_date_ = owner_.composer_.has_complete_state();
-            if (!is_up_to_date_)
-            {
-                write(owner_.composer_.status_report());
-                return;
-            }
-            auto frame = owner_.composer_.first_update_since(*position_);
-            position_ = owner_.composer_.position_after_update(*position_);
-            write(std::move(frame));
-        }
-
-        void write(shared_frame frame)
-        {
-            frame_ = std::move(frame);
-            send_began_at_ = monotonic_now();
-            asio::async_write(socket_,
-                              asio::buffer(*frame_),
-                              [self = shared_from_this()](
-                                  const error_code& error, std::size_t)
-                              {
-                                  self->on_written(error);
-                              });
-        }
-
-        void on_written(const error_code& error)
-        {
-            if (error)
-            {
-                owner_.disconnect(shared_from_this());
-                return;
-            }
-            frame_ = nullptr;
-            if (missed_update_)
-            {
-                send_missing();
-            }
-        }
-
-        implementation& owner_;
-        tcp::socket socket_;
-        std::array<char, frame_header_bytes> header_{};
-        std::string body_;
-        // The message that is being sent; null if none is.
-        shared_frame frame_;
-        milliseconds send_began_at_;
-        // Whether an update was left out while it was being sent.
-        bool missed_update_ = false;
-        // The position that the messages sent so far lead to, at first the one
-        // that the subscriber has requested changes from; empty until its
-        // subscription has arrived, and for a status query.
-        std::optional<replication_position> position_;
-        // Whether the subscriber has been sent the complete state, so that the
-        // updates that are sent to all subscribers apply to its state.
-        bool is_up_to_date_ = false;
-    };
-
     void accept()
     {
         acceptor_.async_accept(
@@ -351,20 +154,35 @@
                 self->accept();
                 if (!error && self->sessions_.size() < max_subscribers)
                 {
-                    const auto added =
-                        std::make_shared<session>(*self, std::move(socket));
-                    self->sessions_.insert(added);
-                    added->start();
+                    self->add_session(std::move(socket));
                 }
             });
     }
 
-    void disconnect(const std::shared_ptr<session>& value)
+    // The sessions are closed before this is destroyed, and call no handlers
+    // after that.
+    void add_session(tcp::socket socket)
+    {
+        subscriber_session::handlers handlers;
+        handlers.on_subscribed_ = [this]
+        {
+            appoint_missing_standbys();
+        };
+        handlers.on_end_ = [this](const auto& session)
+        {
+            remove_session(session);
+        };
+        const auto added = std::make_shared<subscriber_session>(
+            std::move(socket), composer_, std::move(handlers));
+        sessions_.insert(added);
+        added->start();
+    }
+
+    void remove_session(const std::shared_ptr<subscriber_session>& session)
     {
-        value->close();
         const bool was_standby =
-            absl::c_linear_search(standbys_, value->peer_address());
-        if (sessions_.erase(value) != 0 && was_standby)
+            absl::c_linear_search(standbys_, session->peer_address());
+        if (sessions_.erase(session) != 0 && was_standby)
         {
             appoint_standbys();
         }
@@ -449,7 +267,7 @@
     update_composer composer_;
     tcp::acceptor acceptor_;
     asio::steady_timer timer_;
-    std::set<std::shared_ptr<session>> sessions_;
+    std::set<std::shared_ptr<subscriber_session>> sessions_;
 };
 
 registry_publisher::registry_publisher(
