--- a/modules/av_grants/grant_server.cpp
+++ b/modules/av_grants/grant_server.cpp
@@ -5,17 +5,15 @@
 #include <av_grants/grant_codec.hpp>
 #include <av_net/duration.hpp>
 #include <av_net/endpoint.hpp>
-#include <av_net/message_frame.hpp>
+#include <av_net/frame_reader.hpp>
 #include <av_quota/permit_ledger.hpp>
 
 #include <absl/container/flat_hash_set.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
-#include <array>
 #include <sstream>
 #include <utility>
 
@@ -147,7 +145,7 @@
             socket_.set_option(
                 asio::socket_base::send_buffer_size(send_buffer_bytes),
                 ignored);
-            read_header();
+            read_frame();
         }
 
         void close()
@@ -162,45 +160,30 @@
         }
 
     private:
-        void read_header()
+        void read_frame()
         {
             deadline_ = monotonic_now() + max_idle_time;
-            asio::async_read(socket_,
-                             asio::buffer(header_),
-                             [self = shared_from_this()](
-                                 const error_code& error, std::size_t)
-                             {
-                                 self->on_header(error);
-                             });
-        }
-
-        void on_header(const error_code& error)
-        {
-            const auto length = frame_length({header_.data(), header_.size()});
-            if (error || !socket_.is_open() || length > max_grant_message_bytes)
+            frame_handlers handlers;
+            handlers.on_header_ = [self = shared_from_this()]
             {
-                disconnect();
-                return;
-            }
-            body_.resize(length);
-            deadline_ = monotonic_now() + max_transfer_time;
-            asio::async_read(socket_,
-                             asio::buffer(body_),
-                             [self = shared_from_this()](
-                                 const error_code& failure, std::size_t)
-                             {
-                                 self->on_body(failure);
-                             });
+                self->deadline_ = monotonic_now() + max_transfer_time;
+            };
+            handlers.on_frame_ =
+                [self = shared_from_this()](const error_code& error)
+            {
+                self->on_frame(error);
+            };
+            reader_.read(std::move(handlers));
         }
 
-        void on_body(const error_code& error)
+        void on_frame(const error_code& error)
         {
-            if (error || !socket_.is_open())
+            if (error)
             {
                 disconnect();
                 return;
             }
-            const auto query = read_query(body_);
+            const auto query = read_query(reader_.body());
             if (!query.ok())
             {
                 disconnect();
@@ -223,7 +206,7 @@
                 disconnect();
                 return;
             }
-            read_header();
+            read_frame();
         }
 
         // The owner closes all connections when it is destroyed, whose handlers
@@ -239,8 +222,7 @@
 
         implementation& owner_;
         tcp::socket socket_;
-        std::array<char, frame_header_bytes> header_{};
-        std::string body_;
+        frame_reader reader_{socket_, max_grant_message_bytes};
         std::string reply_;
         // When the connection is closed unless something happens on it.
         milliseconds deadline_;
--- a/modules/av_grants/grantor_connection.cpp
+++ b/modules/av_grants/grantor_connection.cpp
@@ -2,7 +2,6 @@
 
 #include <av_grants/grant_codec.hpp>
 
-#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include <utility>
@@ -52,7 +51,7 @@
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
     is_connected_ = true;
-    read_header();
+    read_frame();
     write();
 }
 
@@ -76,46 +75,28 @@
         });
 }
 
-void grantor_connection::read_header()
+void grantor_connection::read_frame()
 {
-    asio::async_read(
-        socket_,
-        asio::buffer(header_),
-        [self = shared_from_this()](const error_code& error, std::size_t)
-        {
-            self->on_header(error);
-        });
+    frame_handlers handlers;
+    handlers.on_frame_ = [self = shared_from_this()](const error_code& error)
+    {
+        self->on_frame(error);
+    };
+    reader_.read(std::move(handlers));
 }
 
-void grantor_connection::on_header(const error_code& error)
+void grantor_connection::on_frame(const error_code& error)
 {
-    if (end_on_error(error))
-    {
-        return;
-    }
-    const auto length = frame_length({header_.data(), header_.size()});
-    if (length > max_grant_message_bytes)
+    if (error == frame_too_long)
     {
         end("a message exceeds the size limit");
         return;
     }
-    body_.resize(length);
-    asio::async_read(
-        socket_,
-        asio::buffer(body_),
-        [self = shared_from_this()](const error_code& failure, std::size_t)
-        {
-            self->on_body(failure);
-        });
-}
-
-void grantor_connection::on_body(const error_code& error)
-{
     if (end_on_error(error))
     {
         return;
     }
-    const auto reply = read_reply(body_);
+    const auto reply = read_reply(reader_.body());
     if (!reply.ok())
     {
         end(std::string(reply.status().message()));
@@ -124,7 +105,7 @@
     handlers_.on_reply_(*reply);
     if (!is_closed_)
     {
-        read_header();
+        read_frame();
     }
 }
 
--- a/modules/av_grants/grantor_connection.hpp
+++ b/modules/av_grants/grantor_connection.hpp
@@ -5,12 +5,11 @@
 
 #include <av_core/milliseconds.hpp>
 #include <av_grants/grant_messages.hpp>
-#include <av_net/message_frame.hpp>
+#include <av_net/frame_reader.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
-#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -43,9 +42,8 @@
 private:
     void on_connected(const boost::system::error_code& error);
     void write();
-    void read_header();
-    void on_header(const boost::system::error_code& error);
-    void on_body(const boost::system::error_code& error);
+    void read_frame();
+    void on_frame(const boost::system::error_code& error);
     bool end_on_error(const boost::system::error_code& error);
     void end(const std::string& reason);
 
@@ -56,8 +54,7 @@
     // Frames that are being written, and those that wait for this.
     std::string writing_;
     std::string unsent_;
-    std::array<char, frame_header_bytes> header_{};
-    std::string body_;
+    frame_reader reader_{socket_, max_grant_message_bytes};
 };
 
 } // namespace anvilturn
--- a/modules/av_net/av_net.hpp
+++ b/modules/av_net/av_net.hpp
@@ -13,6 +13,7 @@
 #include <av_net/duration.hpp>
 #include <av_net/endpoint.hpp>
 #include <av_net/event_loop.hpp>
+#include <av_net/frame_reader.hpp>
 #include <av_net/http_caller.hpp>
 #include <av_net/http_exchange.hpp>
 #include <av_net/message_frame.hpp>
--- a/modules/av_replication/registry_subscriber.cpp
+++ b/modules/av_replication/registry_subscriber.cpp
@@ -3,17 +3,16 @@
 #include <av_core/monotonic_clock.hpp>
 #include <av_net/duration.hpp>
 #include <av_net/endpoint.hpp>
+#include <av_net/frame_reader.hpp>
 #include <av_replication/replication_timing.hpp>
 #include <av_replication/update_codec.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
-#include <array>
 #include <optional>
 #include <utility>
 
@@ -68,7 +67,7 @@
 
     bool is_receiving_contents() const
     {
-        return !ended_ && awaits_contents_ && !body_.empty();
+        return !ended_ && awaits_contents_ && !reader_.body().empty();
     }
 
     void stop()
@@ -96,80 +95,69 @@
             {
                 if (!self->end_on_error(failure, "can't subscribe"))
                 {
-                    self->read_header();
+                    self->read_frame();
                 }
             });
     }
 
-    void read_header()
+    void read_frame()
     {
         restart_timeout(watcher_timeout);
-        asio::async_read(
-            socket_,
-            asio::buffer(header_),
-            [self = shared_from_this()](const error_code& error, std::size_t)
-            {
-                self->on_header(error);
-            });
+        frame_handlers handlers;
+        handlers.on_header_ = [self = shared_from_this()]
+        {
+            self->on_header();
+        };
+        handlers.on_progress_ = [self = shared_from_this()]
+        {
+            self->on_progress();
+        };
+        handlers.on_frame_ =
+            [self = shared_from_this()](const error_code& error)
+        {
+            self->on_frame(error);
+        };
+        reader_.read(std::move(handlers));
     }
 
-    void on_header(const error_code& error)
+    void on_header()
     {
-        if (end_on_error(error, "the connection ended"))
-        {
-            return;
-        }
-        const auto length = frame_length({header_.data(), header_.size()});
-        if (length > max_frame_bytes)
-        {
-            end("a message exceeds the size limit");
-            return;
-        }
         if (!message_began_at_)
         {
             message_began_at_ = monotonic_now();
         }
-        body_.resize(length);
-        asio::async_read(
-            socket_,
-            asio::buffer(body_),
-            [self = shared_from_this()](const error_code& failure,
-                                        std::size_t received)
-            {
-                return self->bytes_to_read(failure, received);
-            },
-            [self = shared_from_this()](const error_code& failure, std::size_t)
-            {
-                self->on_body(failure);
-            });
     }
 
     // Called as parts of a message arrive. The first one with contents may be a
     // large snapshot: requested anew from another watcher, it would take as
     // long again. Later ones must be complete within the time limit, because
     // the changes that follow wait behind them.
-    std::size_t bytes_to_read(const error_code& error, std::size_t received)
+    void on_progress()
     {
-        if (!ended_ && !error && awaits_contents_ && received > 0)
+        if (!ended_ && awaits_contents_)
         {
             restart_timeout(watcher_timeout);
         }
-        return asio::transfer_all()(error, received);
     }
 
-    void on_body(const error_code& error)
+    void on_frame(const error_code& error)
     {
+        if (error == frame_too_long)
+        {
+            end("a message exceeds the size limit");
+            return;
+        }
         if (end_on_error(error, "the connection ended"))
         {
             return;
         }
-        auto update = read_update(body_, defaults_);
+        auto update = read_update(reader_.body(), defaults_);
         if (!update.ok())
         {
             end(std::string(update.status().message()));
             return;
         }
-        body_.clear();
+        reader_.clear();
         update->transfer_time_ = monotonic_now() - *message_began_at_;
         message_began_at_.reset();
         // A watcher that is not ready sends status reports first.
@@ -181,7 +169,7 @@
         }
         if (!ended_)
         {
-            read_header();
+            read_frame();
         }
     }
 
@@ -227,8 +215,7 @@
     tcp::socket socket_;
     asio::steady_timer timer_;
     std::string subscription_;
-    std::array<char, frame_header_bytes> header_{};
-    std::string body_;
+    frame_reader reader_{socket_, max_frame_bytes};
     bool awaits_contents_ = true;
     // When the message that is being received was requested, or began to
     // arrive; empty between two messages.
--- a/modules/av_replication/subscriber_session.cpp
+++ b/modules/av_replication/subscriber_session.cpp
@@ -3,7 +3,6 @@
 #include <av_core/monotonic_clock.hpp>
 #include <av_replication/update_codec.hpp>
 
-#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include <utility>
@@ -31,6 +30,7 @@
     : socket_(std::move(socket))
     , composer_(composer)
     , handlers_(std::move(handlers))
+    , reader_(socket_, max_subscription_bytes)
 {
 }
 
@@ -40,13 +40,12 @@
     socket_.set_option(tcp::no_delay(true), ignored);
     socket_.set_option(asio::socket_base::send_buffer_size(send_buffer_bytes),
                        ignored);
-    asio::async_read(
-        socket_,
-        asio::buffer(header_),
-        [self = shared_from_this()](const error_code& error, std::size_t)
-        {
-            self->on_header(error);
-        });
+    frame_handlers handlers;
+    handlers.on_frame_ = [self = shared_from_this()](const error_code& error)
+    {
+        self->on_frame(error);
+    };
+    reader_.read(std::move(handlers));
 }
 
 void subscriber_session::notify(const shared_frame& update_frame)
@@ -80,32 +79,14 @@
     return position_ ? position_->peer_address_ : std::string();
 }
 
-void subscriber_session::on_header(const error_code& error)
-{
-    const auto length = frame_length({header_.data(), header_.size()});
-    if (error || !socket_.is_open() || length > max_subscription_bytes)
-    {
-        end();
-        return;
-    }
-    body_.resize(length);
-    asio::async_read(
-        socket_,
-        asio::buffer(body_),
-        [self = shared_from_this()](const error_code& failure, std::size_t)
-        {
-            self->on_body(failure);
-        });
-}
-
-void subscriber_session::on_body(const error_code& error)
+void subscriber_session::on_frame(const error_code& error)
 {
-    if (error || !socket_.is_open())
+    if (error)
     {
         end();
         return;
     }
-    const auto position = read_subscription(body_);
+    const auto position = read_subscription(reader_.body());
     if (!position.ok())
     {
         end();
--- a/modules/av_replication/subscriber_session.hpp
+++ b/modules/av_replication/subscriber_session.hpp
@@ -4,13 +4,12 @@
 #define AV_REPLICATION_SUBSCRIBER_SESSION_HPP
 
 #include <av_core/milliseconds.hpp>
-#include <av_net/message_frame.hpp>
+#include <av_net/frame_reader.hpp>
 #include <av_replication/registry_update.hpp>
 #include <av_replication/update_composer.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
 
-#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -57,8 +56,7 @@
     std::string peer_address() const;
 
 private:
-    void on_header(const boost::system::error_code& error);
-    void on_body(const boost::system::error_code& error);
+    void on_frame(const boost::system::error_code& error);
     void watch_for_close();
     void miss_update();
     void send_missing();
@@ -69,8 +67,7 @@
     boost::asio::ip::tcp::socket socket_;
     update_composer& composer_;
     const handlers handlers_;
-    std::array<char, frame_header_bytes> header_{};
-    std::string body_;
+    frame_reader reader_;
     // The message that is being sent; null if none is.
     shared_frame frame_;
     milliseconds send_began_at_;
