--- a/modules/av_http/response_reader.cpp
+++ b/modules/av_http/response_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <av_core/http_status.hpp>
 #include <av_http/message_parser.hpp>
+#include <av_model/cold_time.hpp>
 
 #include <charconv>
 #include <limits>
@@ -14,8 +15,6 @@
 // Returns the number of milliseconds; nothing if the value is malformed.
 std::optional<milliseconds> parse_cold_time(std::string_view value)
 {
-    // A target with a longer warm-up time would practically never be used.
-    constexpr int max_cold_ms = 600'000;
     int count = 0;
     const auto* const end = value.data() + value.size();
     const auto parsed = std::from_chars(value.data(), end, count);
@@ -23,7 +22,7 @@
     {
         return std::nullopt;
     }
-    return milliseconds(std::min(count, max_cold_ms));
+    return std::min(milliseconds(count), max_cold_time);
 }
 
 using detail::equals_ignoring_case;
--- a/modules/av_proxy/tests/platform_rules_test.cpp
+++ b/modules/av_proxy/tests/platform_rules_test.cpp
@@ -9,6 +9,11 @@
 namespace
 {
 
+release unchanged(release value)
+{
+    return value;
+}
+
 release with_retries(release value)
 {
     value.services_["kits"].retry_ratio_ = 1.0;
@@ -22,6 +27,12 @@
     return value;
 }
 
+release with_one_attempt(release value)
+{
+    value.rules_["look-ups"].max_attempts_ = 1;
+    return value;
+}
+
 const std::string health_response =
     ok("", "Anvilturn-Load: busy=1, queued=0, slots=6\r\n");
 
@@ -45,6 +56,69 @@
     return a.has_pending_connection() ? a : b;
 }
 
+// The call "one", which has arrived at the only target.
+struct one_target_call
+{
+    explicit one_target_call(release (*configure)(release) = unchanged)
+        : vm_(configure(make_release({target_.address()})),
+              custom_dialect_settings())
+        , caller_(vm_.call())
+        , connection_(connect())
+        , header_(connection_.read_header())
+    {
+    }
+
+    test_connection connect()
+    {
+        caller_.send(request("/kits", "one"));
+        return target_.accept();
+    }
+
+    scripted_target target_;
+    relay vm_;
+    test_connection caller_;
+    test_connection connection_;
+    // What has arrived first at the target: the call or, before it, a load
+    // query.
+    const std::string header_;
+};
+
+// The call "one", which has arrived at one of two targets. It may be retried at
+// the other one.
+struct two_target_call
+{
+    explicit two_target_call(const std::string& path,
+                             release (*configure)(release) = unchanged)
+        : vm_(configure(with_retries(
+                  make_release({first_.address(), second_.address()}))),
+              custom_dialect_settings())
+        , caller_(vm_.call())
+        , called_(target_called(path))
+        , other_(&called_ == &first_ ? second_ : first_)
+        , connection_(called_.accept())
+    {
+        connection_.read_header();
+    }
+
+    scripted_target& target_called(const std::string& path)
+    {
+        caller_.send(request(path, "one"));
+        return first_connected(first_, second_);
+    }
+
+    scripted_target first_;
+    scripted_target second_;
+    relay vm_;
+    test_connection caller_;
+    scripted_target& called_;
+    scripted_target& other_;
+    test_connection connection_;
+};
+
+const std::string truncated_response =
+    "HTTP/1.1 200 OK\r\nX-Call: one\r\nX-Signed: 1\r\n"
+    "Content-Length: 10\r\n\r\nhalf";
+
 std::string status_line_of(const std::string& header)
 {
     return header.substr(0, header.find("\r\n"));
@@ -56,17 +130,13 @@
 
 BOOST_AUTO_TEST_CASE(response_to_another_call_is_skipped)
 {
-    scripted_target target;
-    relay vm(make_release({target.address()}), custom_dialect_settings());
-    auto caller = vm.call();
-    caller.send(request("/kits", "one"));
-    auto connection = target.accept();
-    BOOST_TEST(contains(connection.read_header(), "X-Meant-For: kits-1\r\n"));
-    connection.send(signed_response("zero", "of an earlier call") +
-                    signed_response("one", "mine"));
-    const auto header = caller.read_header();
+    one_target_call call;
+    BOOST_TEST(contains(call.header_, "X-Meant-For: kits-1\r\n"));
+    call.connection_.send(signed_response("zero", "of an earlier call") +
+                          signed_response("one", "mine"));
+    const auto header = call.caller_.read_header();
     BOOST_TEST(contains(header, "X-Call: one\r\n"));
-    BOOST_TEST(caller.read_bytes(4) == "mine");
+    BOOST_TEST(call.caller_.read_bytes(4) == "mine");
 }
 
 BOOST_AUTO_TEST_CASE(a_target_that_took_over_the_address_gets_no_more_calls)
@@ -91,58 +161,33 @@
 
 BOOST_AUTO_TEST_CASE(success_without_signature_is_malformed)
 {
-    scripted_target target;
-    relay vm(make_release({target.address()}), custom_dialect_settings());
-    auto caller = vm.call();
-    caller.send(request("/kits", "one"));
-    auto connection = target.accept();
-    connection.read_header();
-    connection.send(ok("spoilt", "X-Call: one\r\n"));
-    BOOST_TEST(outcome_of(caller.read_header()) ==
+    one_target_call call;
+    call.connection_.send(ok("spoilt", "X-Call: one\r\n"));
+    BOOST_TEST(outcome_of(call.caller_.read_header()) ==
                "unknown target_answer_malformed");
 }
 
 BOOST_AUTO_TEST_CASE(truncated_response_is_retried_at_another_target)
 {
-    scripted_target first;
-    scripted_target second;
-    relay vm(with_retries(make_release({first.address(), second.address()})),
-             custom_dialect_settings());
-    auto caller = vm.call();
-    caller.send(request("/kits/availability", "one"));
-    auto& called = first_connected(first, second);
-    auto& other = &called == &first ? second : first;
-    auto connection = called.accept();
-    connection.read_header();
-    connection.send("HTTP/1.1 200 OK\r\nX-Call: one\r\nX-Signed: 1\r\n"
-                    "Content-Length: 10\r\n\r\nhalf");
-    connection.close();
-    auto retried = other.accept();
+    two_target_call call("/kits/availability");
+    call.connection_.send(truncated_response);
+    call.connection_.close();
+    auto retried = call.other_.accept();
     retried.read_header();
     retried.send(signed_response("one", "whole"));
-    const auto header = caller.read_header();
+    const auto header = call.caller_.read_header();
     BOOST_TEST(status_line_of(header) == "HTTP/1.1 200 OK");
-    BOOST_TEST(caller.read_bytes(5) == "whole");
+    BOOST_TEST(call.caller_.read_bytes(5) == "whole");
 }
 
 BOOST_AUTO_TEST_CASE(truncated_response_to_non_idempotent_call_is_not_retried)
 {
-    scripted_target first;
-    scripted_target second;
-    relay vm(with_retries(make_release({first.address(), second.address()})),
-             custom_dialect_settings());
-    auto caller = vm.call();
-    caller.send(request("/kits/order", "one"));
-    auto& called = first_connected(first, second);
-    auto& other = &called == &first ? second : first;
-    auto connection = called.accept();
-    connection.read_header();
-    connection.send("HTTP/1.1 200 OK\r\nX-Call: one\r\nX-Signed: 1\r\n"
-                    "Content-Length: 10\r\n\r\nhalf");
-    connection.close();
-    BOOST_TEST(status_line_of(caller.read_header()) ==
+    two_target_call call("/kits/order");
+    call.connection_.send(truncated_response);
+    call.connection_.close();
+    BOOST_TEST(status_line_of(call.caller_.read_header()) ==
                "HTTP/1.1 502 Bad Gateway");
-    BOOST_TEST(!other.has_pending_connection());
+    BOOST_TEST(!call.other_.has_pending_connection());
 }
 
 BOOST_AUTO_TEST_CASE(response_without_length_ends_at_connection_close)
@@ -151,25 +196,19 @@
     {
         BOOST_TEST_CONTEXT((clean ? "closed" : "reset"))
         {
-            scripted_target target;
-            relay vm(make_release({target.address()}),
-                     custom_dialect_settings());
-            auto caller = vm.call();
-            caller.send(request("/kits", "one"));
-            auto connection = target.accept();
-            connection.read_header();
-            connection.send("HTTP/1.1 200 OK\r\nX-Call: one\r\n"
-                            "X-Signed: 1\r\n\r\nuntil the end");
+            one_target_call call;
+            call.connection_.send("HTTP/1.1 200 OK\r\nX-Call: one\r\n"
+                                  "X-Signed: 1\r\n\r\nuntil the end");
             if (clean)
             {
-                connection.close();
+                call.connection_.close();
             }
             else
             {
-                connection.reset();
+                call.connection_.reset();
             }
             BOOST_TEST(
-                status_line_of(caller.read_header()) ==
+                status_line_of(call.caller_.read_header()) ==
                 (clean ? "HTTP/1.1 200 OK" : "HTTP/1.1 502 Bad Gateway"));
         }
     }
@@ -177,42 +216,22 @@
 
 BOOST_AUTO_TEST_CASE(failure_status_is_retried_at_another_target)
 {
-    scripted_target first;
-    scripted_target second;
-    relay vm(with_retries(make_release({first.address(), second.address()})),
-             custom_dialect_settings());
-    auto caller = vm.call();
-    caller.send(request("/kits/availability", "one"));
-    auto& called = first_connected(first, second);
-    auto& other = &called == &first ? second : first;
-    auto connection = called.accept();
-    connection.read_header();
-    connection.send("HTTP/1.1 500 Error\r\nX-Call: one\r\nX-Signed: 1\r\n"
-                    "Content-Length: 0\r\n\r\n");
-    auto retried = other.accept();
+    two_target_call call("/kits/availability");
+    call.connection_.send("HTTP/1.1 500 Error\r\nX-Call: one\r\nX-Signed: 1\r\n"
+                          "Content-Length: 0\r\n\r\n");
+    auto retried = call.other_.accept();
     retried.read_header();
     retried.send(signed_response("one", "good"));
-    BOOST_TEST(status_line_of(caller.read_header()) == "HTTP/1.1 200 OK");
+    BOOST_TEST(status_line_of(call.caller_.read_header()) == "HTTP/1.1 200 OK");
 }
 
 BOOST_AUTO_TEST_CASE(attempts_are_limited_by_the_rule)
 {
-    scripted_target first;
-    scripted_target second;
-    auto value =
-        with_retries(make_release({first.address(), second.address()}));
-    value.rules_["look-ups"].max_attempts_ = 1;
-    relay vm(value, custom_dialect_settings());
-    auto caller = vm.call();
-    caller.send(request("/kits/availability", "one"));
-    auto& called = first_connected(first, second);
-    auto& other = &called == &first ? second : first;
-    auto connection = called.accept();
-    connection.read_header();
-    connection.close();
-    BOOST_TEST(status_line_of(caller.read_header()) ==
+    two_target_call call("/kits/availability", with_one_attempt);
+    call.connection_.close();
+    BOOST_TEST(status_line_of(call.caller_.read_header()) ==
                "HTTP/1.1 502 Bad Gateway");
-    BOOST_TEST(!other.has_pending_connection());
+    BOOST_TEST(!call.other_.has_pending_connection());
 }
 
 BOOST_AUTO_TEST_CASE(the_timeout_of_a_rule_ends_a_call)
@@ -276,20 +295,14 @@
     {
         BOOST_TEST_CONTEXT(status)
         {
-            scripted_target target;
-            relay vm(with_load_queries(make_release({target.address()})),
-                     custom_dialect_settings());
-            auto caller = vm.call();
-            caller.send(request("/kits", "one"));
-            auto connection = target.accept();
-            connection.read_header();
-            connection.send(health_response);
-            BOOST_TEST(
-                contains(connection.read_header(), "GET /kits HTTP/1.1\r\n"));
-            connection.send("HTTP/1.1 " + status +
-                            "\r\nContent-Length: 0\r\n\r\n");
-            connection.send(signed_response("one", "yes"));
-            BOOST_TEST(status_line_of(caller.read_header()) ==
+            one_target_call call(with_load_queries);
+            call.connection_.send(health_response);
+            BOOST_TEST(contains(call.connection_.read_header(),
+                                "GET /kits HTTP/1.1\r\n"));
+            call.connection_.send("HTTP/1.1 " + status +
+                                  "\r\nContent-Length: 0\r\n\r\n");
+            call.connection_.send(signed_response("one", "yes"));
+            BOOST_TEST(status_line_of(call.caller_.read_header()) ==
                        "HTTP/1.1 200 OK");
         }
     }
@@ -299,38 +312,28 @@
 // which would be sent to another target while this one runs it.
 BOOST_AUTO_TEST_CASE(a_connection_is_not_reused_after_a_refused_load_query)
 {
-    scripted_target target;
-    relay vm(with_load_queries(make_release({target.address()})),
-             custom_dialect_settings());
-    auto caller = vm.call();
-    caller.send(request("/kits", "one"));
-    auto connection = target.accept();
-    connection.read_header();
-    connection.send("HTTP/1.1 503 Busy\r\nAnvilturn-Not-Run: 1\r\n"
-                    "Anvilturn-Load: busy=1, queued=0, slots=6\r\n"
-                    "Content-Length: 0\r\n\r\n");
-    BOOST_TEST(connection.read_to_end() == "");
+    one_target_call call(with_load_queries);
+    call.connection_.send("HTTP/1.1 503 Busy\r\nAnvilturn-Not-Run: 1\r\n"
+                          "Anvilturn-Load: busy=1, queued=0, slots=6\r\n"
+                          "Content-Length: 0\r\n\r\n");
+    BOOST_TEST(call.connection_.read_to_end() == "");
 }
 
 // A late copy of a response without a call id can't be told from the response
 // to the next call.
 BOOST_AUTO_TEST_CASE(a_connection_is_not_reused_after_a_response_without_id)
 {
-    scripted_target target;
-    relay vm(make_release({target.address()}), custom_dialect_settings());
-    auto caller = vm.call();
-    caller.send(request("/kits", "one"));
-    auto connection = target.accept();
-    connection.read_header();
-    connection.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
-    BOOST_TEST(status_line_of(caller.read_header()) ==
+    one_target_call call;
+    call.connection_.send(
+        "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+    BOOST_TEST(status_line_of(call.caller_.read_header()) ==
                "HTTP/1.1 404 Not Found");
-    caller.send(request("/kits", "two"));
-    BOOST_TEST(connection.read_to_end() == "");
-    auto fresh = target.accept();
+    call.caller_.send(request("/kits", "two"));
+    BOOST_TEST(call.connection_.read_to_end() == "");
+    auto fresh = call.target_.accept();
     fresh.read_header();
     fresh.send(signed_response("two", "yes"));
-    BOOST_TEST(status_line_of(caller.read_header()) == "HTTP/1.1 200 OK");
+    BOOST_TEST(status_line_of(call.caller_.read_header()) == "HTTP/1.1 200 OK");
 }
 
 // The end of the other call's response was taken for the end of this call's,
@@ -338,19 +341,15 @@
 BOOST_AUTO_TEST_CASE(
     a_stray_response_that_ends_with_its_connection_ends_no_call)
 {
-    scripted_target target;
-    relay vm(make_release({target.address()}), custom_dialect_settings());
-    auto caller = vm.call();
-    caller.send(request("/kits", "one"));
-    auto connection = target.accept();
-    connection.read_header();
-    connection.send("HTTP/1.1 200 OK\r\nX-Call: zero\r\nX-Signed: 1\r\n\r\n"
-                    "of an earlier call");
-    connection.close();
-    const auto header = caller.read_header();
+    one_target_call call;
+    call.connection_.send(
+        "HTTP/1.1 200 OK\r\nX-Call: zero\r\nX-Signed: 1\r\n\r\n"
+        "of an earlier call");
+    call.connection_.close();
+    const auto header = call.caller_.read_header();
     BOOST_TEST(status_line_of(header) == "HTTP/1.1 502 Bad Gateway");
     BOOST_TEST(outcome_of(header) == "unknown target_answer_lost");
-    BOOST_TEST(vm.path().statistics().answered_ == 0U);
+    BOOST_TEST(call.vm_.path().statistics().answered_ == 0U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
