--- a/modules/av_grants/grant_server.cpp
+++ b/modules/av_grants/grant_server.cpp
@@ -1,6 +1,5 @@
 #include <av_grants/grant_server.hpp>
 
-#include <av_core/error.hpp>
 #include <av_core/monotonic_clock.hpp>
 #include <av_grants/grant_codec.hpp>
 #include <av_net/duration.hpp>
@@ -64,32 +63,10 @@
 
     absl::Status start()
     {
-        const auto parsed = parse_endpoint(options_.address_);
-        if (!parsed)
+        if (auto status = listen_at(acceptor_, "grants", options_.address_);
+            !status.ok())
         {
-            return make_error(error_kind::settings_invalid,
-                              "grants: " + options_.address_ +
-                                  " is not an IP address and port");
-        }
-        error_code error;
-        acceptor_.open(parsed->protocol(), error);
-        if (!error)
-        {
-            acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-        }
-        if (!error)
-        {
-            acceptor_.bind(*parsed, error);
-        }
-        if (!error)
-        {
-            acceptor_.listen(asio::socket_base::max_listen_connections, error);
-        }
-        if (error)
-        {
-            return make_error(error_kind::settings_invalid,
-                              "can't listen on " + options_.address_ + ": " +
-                                  error.message());
+            return status;
         }
         ledger_.started_at_ = monotonic_now();
         accept();
--- a/modules/av_net/endpoint.cpp
+++ b/modules/av_net/endpoint.cpp
@@ -1,5 +1,7 @@
 #include <av_net/endpoint.hpp>
 
+#include <av_core/error.hpp>
+
 #include <charconv>
 #include <cstdint>
 #include <string>
@@ -35,4 +37,45 @@
     return boost::asio::ip::tcp::endpoint(ip, port);
 }
 
+boost::system::error_code
+listen_at(boost::asio::ip::tcp::acceptor& acceptor,
+          const boost::asio::ip::tcp::endpoint& endpoint)
+{
+    boost::system::error_code error;
+    acceptor.open(endpoint.protocol(), error);
+    if (!error)
+    {
+        acceptor.set_option(boost::asio::socket_base::reuse_address(true),
+                            error);
+    }
+    if (!error)
+    {
+        acceptor.bind(endpoint, error);
+    }
+    if (!error)
+    {
+        acceptor.listen(boost::asio::socket_base::max_listen_connections,
+                        error);
+    }
+    return error;
+}
+
+absl::Status listen_at(boost::asio::ip::tcp::acceptor& acceptor,
+                       const std::string& setting,
+                       const std::string& address)
+{
+    const auto endpoint = parse_endpoint(address);
+    if (!endpoint)
+    {
+        return make_error(error_kind::settings_invalid,
+                          setting + ": " + address +
+                              " is not an IP address and port");
+    }
+    const auto error = listen_at(acceptor, *endpoint);
+    return error ? make_error(error_kind::settings_invalid,
+                              "can't listen on " + address + ": " +
+                                  error.message())
+                 : absl::OkStatus();
+}
+
 } // namespace anvilturn
--- a/modules/av_operator/operator_server.cpp
+++ b/modules/av_operator/operator_server.cpp
@@ -47,7 +47,7 @@
             asio::error::make_error_code(asio::error::invalid_argument);
         if (endpoint)
         {
-            error = listen(*endpoint);
+            error = listen_at(acceptor_, *endpoint);
         }
         if (error)
         {
@@ -81,25 +81,6 @@
     }
 
 private:
-    boost::system::error_code listen(const tcp::endpoint& endpoint)
-    {
-        boost::system::error_code error;
-        acceptor_.open(endpoint.protocol(), error);
-        if (!error)
-        {
-            acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-        }
-        if (!error)
-        {
-            acceptor_.bind(endpoint, error);
-        }
-        if (!error)
-        {
-            acceptor_.listen(asio::socket_base::max_listen_connections, error);
-        }
-        return error;
-    }
-
     void accept()
     {
         acceptor_.async_accept(
--- a/modules/av_replication/registry_publisher.cpp
+++ b/modules/av_replication/registry_publisher.cpp
@@ -1,6 +1,5 @@
 #include <av_replication/registry_publisher.hpp>
 
-#include <av_core/error.hpp>
 #include <av_net/duration.hpp>
 #include <av_net/endpoint.hpp>
 #include <av_registry/watcher_choice.hpp>
@@ -53,32 +52,9 @@
 
     absl::Status start(const std::string& address)
     {
-        const auto parsed = parse_endpoint(address);
-        error_code error;
-        if (!parsed)
+        if (auto status = listen_at(acceptor_, "peers", address); !status.ok())
         {
-            return make_error(error_kind::settings_invalid,
-                              "peers: " + address +
-                                  " is not an IP address and port");
-        }
-        acceptor_.open(parsed->protocol(), error);
-        if (!error)
-        {
-            acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-        }
-        if (!error)
-        {
-            acceptor_.bind(*parsed, error);
-        }
-        if (!error)
-        {
-            acceptor_.listen(asio::socket_base::max_listen_connections, error);
-        }
-        if (error)
-        {
-            return make_error(error_kind::settings_invalid,
-                              "can't listen on " + address + ": " +
-                                  error.message());
+            return status;
         }
         accept();
         schedule_heartbeat();
