--- a/modules/av_feed/tests/evacuations_test.cpp
+++ b/modules/av_feed/tests/evacuations_test.cpp
@@ -6,13 +6,13 @@
 
 #include <av_feed/registry_control.hpp>
 #include <av_feed/store_session.hpp>
+#include <av_net/tests/running_context.hpp>
 #include <av_registry/evacuated_domains.hpp>
 #include <av_replication/registry_publisher.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <chrono>
 #include <cstdlib>
 #include <map>
 #include <memory>
@@ -22,6 +22,7 @@
 #include <vector>
 
 using namespace anvilturn;
+using anvilturn::testing::running_context;
 using anvilturn::testing::scripted_store;
 
 namespace
@@ -29,28 +30,11 @@
 
 using names = std::set<std::string>;
 
-constexpr std::chrono::seconds test_timeout{30};
 constexpr store_call_intervals test_intervals{
     milliseconds(5.0), milliseconds(5.0), milliseconds(5.0), milliseconds(1.0)};
 constexpr milliseconds no_expiry{1e9};
 constexpr const char* own_address = "127.0.30.10:0";
 
-struct running_context
-{
-    template <typename Condition>
-    void run_until(Condition condition)
-    {
-        const auto limit = std::chrono::steady_clock::now() + test_timeout;
-        while (!condition())
-        {
-            BOOST_TEST_REQUIRE((std::chrono::steady_clock::now() < limit));
-            context_.run_one_for(std::chrono::milliseconds(100));
-        }
-    }
-
-    boost::asio::io_context context_;
-};
-
 // A session on a scripted store.
 struct session_fixture : running_context
 {
--- a/modules/av_feed/tests/registry_control_test.cpp
+++ b/modules/av_feed/tests/registry_control_test.cpp
@@ -6,13 +6,13 @@
 #include "scripted_store.hpp"
 
 #include <av_feed/registry_control.hpp>
+#include <av_net/tests/running_context.hpp>
 #include <av_replication/registry_publisher.hpp>
 #include <av_replication/registry_subscriber.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <chrono>
 #include <map>
 #include <memory>
 #include <set>
@@ -21,12 +21,12 @@
 #include <vector>
 
 using namespace anvilturn;
+using anvilturn::testing::running_context;
 using anvilturn::testing::scripted_store;
 
 namespace
 {
 
-constexpr std::chrono::seconds test_timeout{30};
 constexpr milliseconds no_expiry{1e9};
 constexpr milliseconds recent_response_age{5.0};
 constexpr milliseconds stale_response_age{5000.0};
@@ -126,7 +126,7 @@
 };
 
 // A VM of failure domain a with one watcher there and one in domain b.
-struct subscribed_vm
+struct subscribed_vm : running_context
 {
     // By default the heartbeat interval is so long that no outage lets entries
     // expire.
@@ -163,17 +163,6 @@
         BOOST_TEST_REQUIRE(control_->start().ok());
     }
 
-    template <typename Condition>
-    void run_until(Condition condition)
-    {
-        const auto limit = std::chrono::steady_clock::now() + test_timeout;
-        while (!condition())
-        {
-            BOOST_TEST_REQUIRE((std::chrono::steady_clock::now() < limit));
-            context_.run_one_for(std::chrono::milliseconds(100));
-        }
-    }
-
     void run_until_subscribed_to(const scripted_watcher& watcher)
     {
         run_until(
@@ -208,7 +197,6 @@
             });
     }
 
-    boost::asio::io_context context_;
     scripted_store store_;
     scripted_watcher local_watcher_;
     scripted_watcher remote_watcher_;
--- a/modules/av_feed/tests/store_session_test.cpp
+++ b/modules/av_feed/tests/store_session_test.cpp
@@ -5,11 +5,11 @@
 
 #include <av_feed/av_feed.hpp>
 #include <av_feed/retry_backoff.hpp>
+#include <av_net/tests/running_context.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -24,12 +24,11 @@
 namespace
 {
 
-constexpr std::chrono::seconds test_timeout{20};
 constexpr store_call_intervals test_intervals{
     milliseconds(5.0), milliseconds(5.0), milliseconds(5.0), milliseconds(1.0)};
 
 // A session on a scripted store, which counts what the session reports.
-struct session_fixture
+struct session_fixture : running_context
 {
     session_fixture()
         : store_(context_)
@@ -71,17 +70,6 @@
             context_, store_.calls(), std::move(observer), test_intervals);
     }
 
-    template <typename Condition>
-    void run_until(Condition condition)
-    {
-        const auto limit = std::chrono::steady_clock::now() + test_timeout;
-        while (!condition())
-        {
-            BOOST_TEST_REQUIRE((std::chrono::steady_clock::now() < limit));
-            context_.run_one_for(std::chrono::milliseconds(100));
-        }
-    }
-
     void run_until_synced()
     {
         run_until(
@@ -93,7 +81,6 @@
             });
     }
 
-    boost::asio::io_context context_;
     scripted_store store_;
     std::unique_ptr<store_session> session_;
     std::vector<std::size_t> listing_sizes_;
--- a/modules/av_net/tests/frame_reader_test.cpp
+++ b/modules/av_net/tests/frame_reader_test.cpp
@@ -1,16 +1,17 @@
+#include "running_context.hpp"
+
 #include <av_net/frame_reader.hpp>
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
-#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
 
 using namespace anvilturn;
+using anvilturn::testing::running_context;
 
 namespace
 {
@@ -20,7 +21,6 @@
 using tcp = asio::ip::tcp;
 
 constexpr std::size_t test_limit = 300;
-constexpr std::chrono::seconds test_timeout{20};
 
 // Returns the header of a body with that length.
 std::string header_of(std::size_t length)
@@ -32,7 +32,7 @@
 }
 
 // A reader and the connection that it reads from.
-struct reader_fixture
+struct reader_fixture : running_context
 {
     reader_fixture()
     {
@@ -68,18 +68,6 @@
         asio::write(peer_, asio::buffer(bytes));
     }
 
-    template <typename Condition>
-    void run_until(Condition condition)
-    {
-        const auto limit = std::chrono::steady_clock::now() + test_timeout;
-        context_.restart();
-        while (!condition())
-        {
-            BOOST_TEST_REQUIRE((std::chrono::steady_clock::now() < limit));
-            context_.run_one_for(std::chrono::milliseconds(100));
-        }
-    }
-
     error_code run_until_read()
     {
         run_until(
@@ -90,7 +78,6 @@
         return *result_;
     }
 
-    asio::io_context context_;
     tcp::socket peer_{context_};
     tcp::socket socket_{context_};
     frame_reader reader_{socket_, test_limit};
--- a/modules/av_replication/tests/evacuation_test.cpp
+++ b/modules/av_replication/tests/evacuation_test.cpp
@@ -1,9 +1,9 @@
+#include <av_net/tests/running_context.hpp>
 #include <av_replication/av_replication.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <chrono>
 #include <map>
 #include <memory>
 #include <set>
@@ -12,16 +12,15 @@
 #include <vector>
 
 using namespace anvilturn;
+using anvilturn::testing::running_context;
 
 namespace
 {
 
 using names = std::set<std::string>;
 
-constexpr std::chrono::seconds test_timeout{20};
-
 // A watcher and a subscriber, both on one thread.
-struct evacuation_fixture
+struct evacuation_fixture : running_context
 {
     evacuation_fixture()
         : server_(context_,
@@ -63,15 +62,13 @@
 
     void run_until_updates(std::size_t count)
     {
-        const auto limit = std::chrono::steady_clock::now() + test_timeout;
-        while (updates_.size() < count)
-        {
-            BOOST_TEST_REQUIRE((std::chrono::steady_clock::now() < limit));
-            context_.run_one_for(std::chrono::milliseconds(100));
-        }
+        run_until(
+            [&]
+            {
+                return updates_.size() >= count;
+            });
     }
 
-    boost::asio::io_context context_;
     registry_publisher server_;
     std::unique_ptr<registry_subscriber> client_;
     std::vector<registry_update> updates_;
--- a/modules/av_replication/tests/replication_test.cpp
+++ b/modules/av_replication/tests/replication_test.cpp
@@ -1,21 +1,21 @@
+#include <av_net/tests/running_context.hpp>
 #include <av_replication/av_replication.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
-#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
 
 using namespace anvilturn;
+using anvilturn::testing::running_context;
 
 namespace
 {
 
 constexpr const char* loopback = "127.0.30.7:0";
-constexpr std::chrono::seconds test_timeout{20};
 
 registered_target
 target(const std::string& name, store_revision revision, bool draining = false)
@@ -68,7 +68,7 @@
 }
 
 // A watcher and a subscriber, both on one thread.
-struct publisher_and_subscriber
+struct publisher_and_subscriber : running_context
 {
     publisher_and_subscriber()
         : server_(context_,
@@ -99,18 +99,6 @@
         client_->start(server_.address(), position);
     }
 
-    template <typename Condition>
-    void run_until(Condition condition)
-    {
-        const auto limit = std::chrono::steady_clock::now() + test_timeout;
-        while (!condition())
-        {
-            BOOST_TEST_REQUIRE((std::chrono::steady_clock::now() < limit));
-            context_.run_one_for(std::chrono::milliseconds(100));
-        }
-    }
-
-    boost::asio::io_context context_;
     registry_publisher server_;
     std::unique_ptr<registry_subscriber> client_;
     std::vector<registry_update> updates_;
