--- a/modules/av_feed/store_fallback.cpp
+++ b/modules/av_feed/store_fallback.cpp
@@ -1,7 +1,6 @@
 #include <av_feed/store_fallback.hpp>
 
 #include <av_core/log_event.hpp>
-#include <av_net/duration.hpp>
 
 #include <utility>
 
@@ -101,15 +100,11 @@
 
 void store_fallback::schedule(milliseconds time)
 {
-    timer_.expires_after(to_duration(time));
-    timer_.async_wait(
-        [this](const boost::system::error_code& error)
-        {
-            if (!error)
-            {
-                follow_store();
-            }
-        });
+    timer_.start(time,
+                 [this]
+                 {
+                     follow_store();
+                 });
 }
 
 void store_fallback::follow_store()
--- a/modules/av_feed/store_fallback.hpp
+++ b/modules/av_feed/store_fallback.hpp
@@ -7,9 +7,9 @@
 #include <av_core/monotonic_clock.hpp>
 #include <av_feed/store_replica.hpp>
 #include <av_feed/store_session.hpp>
+#include <av_net/callback_timer.hpp>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <string>
@@ -69,7 +69,7 @@
     store_session& store_;
     store_replica& replica_;
     const std::function<bool()> is_receiving_snapshot_;
-    boost::asio::steady_timer timer_;
+    callback_timer timer_;
     // Whether a watcher sends usable updates to this VM.
     bool receives_updates_ = false;
     // Whether this VM is a standby of its watcher.
--- a/modules/av_feed/store_replica.cpp
+++ b/modules/av_feed/store_replica.cpp
@@ -2,7 +2,6 @@
 
 #include <av_core/monotonic_clock.hpp>
 #include <av_feed/target_log.hpp>
-#include <av_net/duration.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -203,17 +202,12 @@
     {
         return;
     }
-    expiry_timer_.expires_after(
-        to_duration(std::max(milliseconds(0.0), *at - monotonic_now())));
-    expiry_timer_.async_wait(
-        [this](const boost::system::error_code& error)
-        {
-            if (!error)
-            {
-                remove_expired(registry_, monotonic_now());
-                publish_contents();
-            }
-        });
+    expiry_timer_.start(std::max(milliseconds(0.0), *at - monotonic_now()),
+                        [this]
+                        {
+                            remove_expired(registry_, monotonic_now());
+                            publish_contents();
+                        });
 }
 
 } // namespace anvilturn
--- a/modules/av_feed/store_replica.hpp
+++ b/modules/av_feed/store_replica.hpp
@@ -5,13 +5,13 @@
 
 #include <av_core/milliseconds.hpp>
 #include <av_feed/registry_control.hpp>
+#include <av_net/callback_timer.hpp>
 #include <av_registry/evacuated_domains.hpp>
 #include <av_registry/target_registry.hpp>
 #include <av_replication/registry_publisher.hpp>
 #include <av_replication/registry_update.hpp>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <map>
 #include <memory>
@@ -81,7 +81,7 @@
 
     registry_publisher& publisher_;
     const registry_handlers handlers_;
-    boost::asio::steady_timer expiry_timer_;
+    callback_timer expiry_timer_;
     bool publishes_ = false;
     std::shared_ptr<const release> release_;
     milliseconds release_at_;
--- a/modules/av_feed/watcher_fallback.cpp
+++ b/modules/av_feed/watcher_fallback.cpp
@@ -1,7 +1,6 @@
 #include <av_feed/watcher_fallback.hpp>
 
 #include <av_core/log_event.hpp>
-#include <av_net/duration.hpp>
 #include <av_replication/replication_timing.hpp>
 
 #include <utility>
@@ -54,16 +53,12 @@
 
 void watcher_fallback::schedule()
 {
-    timer_.expires_after(to_duration(check_interval));
-    timer_.async_wait(
-        [this](const boost::system::error_code& error)
-        {
-            if (!error)
-            {
-                check();
-                schedule();
-            }
-        });
+    timer_.start(check_interval,
+                 [this]
+                 {
+                     check();
+                     schedule();
+                 });
 }
 
 void watcher_fallback::check()
--- a/modules/av_feed/watcher_fallback.hpp
+++ b/modules/av_feed/watcher_fallback.hpp
@@ -5,11 +5,11 @@
 
 #include <av_core/milliseconds.hpp>
 #include <av_model/service_spec.hpp>
+#include <av_net/callback_timer.hpp>
 #include <av_replication/registry_subscriber.hpp>
 #include <av_replication/registry_update.hpp>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <functional>
@@ -56,7 +56,7 @@
     const std::vector<std::string> watchers_;
     const std::function<milliseconds()> store_response_age_;
     const update_handler on_update_;
-    boost::asio::steady_timer timer_;
+    callback_timer timer_;
     // Index of the watcher that is queried or subscribed to.
     std::size_t current_ = 0;
     bool is_status_query_ = false;
--- a/modules/av_feed/watcher_subscription.cpp
+++ b/modules/av_feed/watcher_subscription.cpp
@@ -2,7 +2,6 @@
 
 #include <av_core/log_event.hpp>
 #include <av_core/monotonic_clock.hpp>
-#include <av_net/duration.hpp>
 #include <av_replication/replication_timing.hpp>
 
 #include <algorithm>
@@ -142,17 +141,12 @@
         watchers_ =
             make_watcher_records(options_.watchers_, options_.peer_address_);
     }
-    search_timer_.expires_after(
-        to_duration(is_starting ? watcher_search_interval_at_startup
-                                : watcher_search_interval));
-    search_timer_.async_wait(
-        [this](const boost::system::error_code& error)
-        {
-            if (!error)
-            {
-                subscribe();
-            }
-        });
+    search_timer_.start(is_starting ? watcher_search_interval_at_startup
+                                    : watcher_search_interval,
+                        [this]
+                        {
+                            subscribe();
+                        });
 }
 
 bool watcher_subscription::handle_update(const registry_update& update)
--- a/modules/av_feed/watcher_subscription.hpp
+++ b/modules/av_feed/watcher_subscription.hpp
@@ -8,12 +8,12 @@
 #include <av_feed/store_fallback.hpp>
 #include <av_feed/store_replica.hpp>
 #include <av_feed/store_session.hpp>
+#include <av_net/callback_timer.hpp>
 #include <av_registry/watcher_choice.hpp>
 #include <av_replication/registry_subscriber.hpp>
 #include <av_replication/registry_update.hpp>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -95,7 +95,7 @@
     store_fallback& fallback_;
     std::vector<watcher_record> watchers_;
     std::minstd_rand random_;
-    boost::asio::steady_timer search_timer_;
+    callback_timer search_timer_;
     // When the store last answered a watcher, by the watcher's report.
     milliseconds watcher_answered_at_;
     std::uint64_t losses_ = 0;
--- a/modules/av_net/av_net.hpp
+++ b/modules/av_net/av_net.hpp
@@ -9,6 +9,7 @@
 #ifndef AV_NET_AV_NET_HPP
 #define AV_NET_AV_NET_HPP
 
+#include <av_net/callback_timer.hpp>
 #include <av_net/capnp_frame.hpp>
 #include <av_net/duration.hpp>
 #include <av_net/endpoint.hpp>
