--- a/modules/av_net/frame_reader.hpp
+++ b/modules/av_net/frame_reader.hpp
@@ -23,7 +23,7 @@
 {
     // Optional: the length of the body is known, and within the limit.
     std::function<void()> on_header_;
-    // Optional: a part of the body has arrived.
+    // Optional: a part of the body has arrived, and the rest has not.
     std::function<void()> on_progress_;
     // Called once: the frame is complete, or could not be read.
     std::function<void(const boost::system::error_code& error)> on_frame_;
