--- a/modules/av_replication/tests/replication_test.cpp
+++ b/modules/av_replication/tests/replication_test.cpp
@@ -328,6 +328,48 @@
         });
 }
 
+// The connections of a publisher end after it, when their handlers run. They
+// must not use it then.
+BOOST_AUTO_TEST_CASE(a_publisher_ends_before_its_connections)
+{
+    running_context loop;
+    auto server =
+        std::make_unique<registry_publisher>(loop.context_,
+                                             "a",
+                                             true,
+                                             []
+                                             {
+                                                 return milliseconds(5.0);
+                                             });
+    BOOST_TEST_REQUIRE(server->start(loopback).ok());
+    int updates = 0;
+    int ends = 0;
+    subscriber_handlers handlers;
+    handlers.on_update_ = [&updates](const registry_update&)
+    {
+        ++updates;
+        return true;
+    };
+    handlers.on_end_ = [&ends](const std::string&)
+    {
+        ++ends;
+    };
+    registry_subscriber client(
+        loop.context_, service_spec(), std::move(handlers));
+    client.start(server->address(), {});
+    loop.run_until(
+        [&]
+        {
+            return updates > 0;
+        });
+    server.reset();
+    loop.run_until(
+        [&]
+        {
+            return ends == 1;
+        });
+}
+
 BOOST_AUTO_TEST_CASE(an_invalid_watcher_address_ends_the_subscription)
 {
     publisher_and_subscriber vms;
