--- a/modules/av_feed/target_log.cpp
+++ b/modules/av_feed/target_log.cpp
@@ -14,6 +14,7 @@
 bool is_changed(const target_spec& before, target_spec after)
 {
     after.cold_for_ = before.cold_for_;
+    after.cold_revision_ = before.cold_revision_;
     return before != after;
 }
 
--- a/modules/av_model/target_spec.hpp
+++ b/modules/av_model/target_spec.hpp
@@ -34,6 +34,9 @@
     // How much longer the target is cold, as of when it last registered; zero
     // if it is warm.
     milliseconds cold_for_{0.0};
+    // Revision of the store at which a cold target last registered, zero if it
+    // is warm: its time counts anew from a later one, also if it is the same.
+    std::uint64_t cold_revision_ = 0;
 
     // Returns all members, for comparison.
     auto tie() const
@@ -46,7 +49,8 @@
                         connection_limit_,
                         draining_,
                         incarnation_,
-                        cold_for_);
+                        cold_for_,
+                        cold_revision_);
     }
 
     friend bool operator==(const target_spec& a, const target_spec& b)
--- a/modules/av_proxy/tests/routing_table_test.cpp
+++ b/modules/av_proxy/tests/routing_table_test.cpp
@@ -261,6 +261,26 @@
     BOOST_TEST(!is_cold(state, milliseconds(4700.0)));
 }
 
+// Guards against calls that overload a target that is cold again before the
+// VM has learnt that it was warm, so that only the revision of its entry has
+// changed.
+BOOST_AUTO_TEST_CASE(a_target_is_cold_again_for_the_same_time)
+{
+    auto value = make_release("10.0.0.1:80");
+    value.services_["kits"].cold_rate_per_second_ = 4.5;
+    auto& spec = value.targets_["kits-1"];
+    spec.cold_for_ = milliseconds(3000.0);
+    spec.cold_revision_ = 5;
+    const auto first = build_table(value, nullptr);
+    auto& state = *first->find_service("kits")->targets_.front().state_;
+    state.cold_until_ms_.store(-1.0);
+    spec.cold_revision_ = 6;
+    const auto second = build_table(value, first.get());
+    BOOST_TEST(second->find_service("kits")->targets_.front().state_.get() ==
+               &state);
+    BOOST_TEST(is_cold(state, milliseconds(3000.0)));
+}
+
 // Each change of a target builds a table on every VM. Its cost must not grow
 // with the rules, of which a release may have thousands: the table takes them
 // from the matcher and needs none of the release's.
--- a/modules/av_registry/target_registry.cpp
+++ b/modules/av_registry/target_registry.cpp
@@ -41,6 +41,16 @@
     return ++entry;
 }
 
+registered_target registration_of(const listed_target& object)
+{
+    registered_target result{*object.value_, object.revision_, std::nullopt};
+    // Only while it is cold, because an entry that differs is passed on, and
+    // each heartbeat has a revision of its own.
+    const bool is_cold = result.spec_.cold_for_ > milliseconds(0.0);
+    result.spec_.cold_revision_ = is_cold ? object.revision_ : 0;
+    return result;
+}
+
 void apply_object(target_registry& registry, const listed_target& object)
 {
     const auto known = registry.entries_.find(object.name_);
@@ -54,8 +64,7 @@
     }
     if (known == registry.entries_.end())
     {
-        registry.entries_[object.name_] = {
-            *object.value_, object.revision_, std::nullopt};
+        registry.entries_[object.name_] = registration_of(object);
         return;
     }
     const bool from_earlier_start =
@@ -64,7 +73,7 @@
     {
         return;
     }
-    known->second = {*object.value_, object.revision_, std::nullopt};
+    known->second = registration_of(object);
 }
 
 // Applies that another VM no longer sees the entry in the store and waits for
--- a/modules/av_registry/tests/target_registry_test.cpp
+++ b/modules/av_registry/tests/target_registry_test.cpp
@@ -220,4 +220,23 @@
     BOOST_TEST(is_registered(by_change, "a"));
 }
 
+// A target may be cold again for the same time. Heartbeats of warm ones must
+// not count as changes, of which every VM would be told.
+BOOST_AUTO_TEST_CASE(only_cold_targets_differ_by_their_revision)
+{
+    auto warm = listed_entry("a", 5);
+    auto cold = listed_entry("b", 5);
+    cold.value_->cold_for_ = milliseconds(3000.0);
+    auto registry = registry_with({warm, cold});
+    const auto before = registered_targets(registry);
+    warm.revision_ = 6;
+    cold.revision_ = 7;
+    apply_changes(registry, {change_of(warm), change_of(cold)}, start);
+    const auto after = registered_targets(registry);
+    BOOST_TEST((after.at("a") == before.at("a")));
+    BOOST_TEST((after.at("b") != before.at("b")));
+    BOOST_TEST(before.at("b").cold_revision_ == 5U);
+    BOOST_TEST(after.at("b").cold_revision_ == 7U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/av_replication/tests/replication_test.cpp
+++ b/modules/av_replication/tests/replication_test.cpp
@@ -370,6 +370,32 @@
         });
 }
 
+// Guards against a target that is cold again for the same time and stays warm
+// for the VMs that have a watcher.
+BOOST_AUTO_TEST_CASE(a_subscriber_learns_that_a_target_is_cold_again)
+{
+    listed_target entry;
+    entry.name_ = "a";
+    entry.value_ = target("a", 0).spec_;
+    entry.value_->cold_for_ = milliseconds(3000.0);
+    target_registry watcher;
+    target_registry subscriber;
+    registry_log log;
+    replication_position position;
+    for (const store_revision revision : {5U, 6U})
+    {
+        entry.revision_ = revision;
+        apply_listing(watcher, {entry}, milliseconds(0.0));
+        record_targets(log, watcher.entries_, revision);
+        const auto update = encode_and_decode(update_since(log, position));
+        apply_changes(subscriber, update.changes_, milliseconds(0.0));
+        position.epoch_ = update.epoch_;
+        position.sequence_ = update.sequence_;
+        BOOST_TEST(registered_targets(subscriber).at("a").cold_revision_ ==
+                   revision);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_invalid_watcher_address_ends_the_subscription)
 {
     publisher_and_subscriber vms;
