--- a/modules/av_proxy/tests/relay_fixture.hpp
+++ b/modules/av_proxy/tests/relay_fixture.hpp
@@ -406,6 +406,23 @@
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+// A call that is running at a target.
+struct call_at_target
+{
+    test_connection caller_;
+    test_connection connection_;
+    std::string request_;
+};
+
+inline call_at_target start_call_at_target(relay& vm, scripted_target& target)
+{
+    auto caller = vm.call();
+    caller.send(get("/kits/first"));
+    auto connection = target.accept();
+    auto request = connection.read_header();
+    return {std::move(caller), std::move(connection), std::move(request)};
+}
+
 } // namespace anvilturn::test
 
 #endif
