--- a/modules/av_net/av_net.hpp
+++ b/modules/av_net/av_net.hpp
@@ -9,10 +9,12 @@
 #ifndef AV_NET_AV_NET_HPP
 #define AV_NET_AV_NET_HPP
 
+#include <av_net/callback_timer.hpp>
 #include <av_net/capnp_frame.hpp>
 #include <av_net/duration.hpp>
 #include <av_net/endpoint.hpp>
 #include <av_net/event_loop.hpp>
+#include <av_net/frame_reader.hpp>
 #include <av_net/http_caller.hpp>
 #include <av_net/http_exchange.hpp>
 #include <av_net/message_frame.hpp>
--- a/modules/av_replication/tests/replication_test.cpp
+++ b/modules/av_replication/tests/replication_test.cpp
@@ -1,21 +1,21 @@
+#include <av_net/tests/running_context.hpp>
 #include <av_replication/av_replication.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
-#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
 
 using namespace anvilturn;
+using anvilturn::testing::running_context;
 
 namespace
 {
 
 constexpr const char* loopback = "127.0.30.7:0";
-constexpr std::chrono::seconds test_timeout{20};
 
 registered_target
 target(const std::string& name, store_revision revision, bool draining = false)
@@ -68,7 +68,7 @@
 }
 
 // A watcher and a subscriber, both on one thread.
-struct publisher_and_subscriber
+struct publisher_and_subscriber : running_context
 {
     publisher_and_subscriber()
         : server_(context_,
@@ -99,18 +99,6 @@
         client_->start(server_.address(), position);
     }
 
-    template <typename Condition>
-    void run_until(Condition condition)
-    {
-        const auto limit = std::chrono::steady_clock::now() + test_timeout;
-        while (!condition())
-        {
-            BOOST_TEST_REQUIRE((std::chrono::steady_clock::now() < limit));
-            context_.run_one_for(std::chrono::milliseconds(100));
-        }
-    }
-
-    boost::asio::io_context context_;
     registry_publisher server_;
     std::unique_ptr<registry_subscriber> client_;
     std::vector<registry_update> updates_;
@@ -340,6 +328,74 @@
         });
 }
 
+// The connections of a publisher end after it, when their handlers run. They
+// must not use it then.
+BOOST_AUTO_TEST_CASE(a_publisher_ends_before_its_connections)
+{
+    running_context loop;
+    auto server =
+        std::make_unique<registry_publisher>(loop.context_,
+                                             "a",
+                                             true,
+                                             []
+                                             {
+                                                 return milliseconds(5.0);
+                                             });
+    BOOST_TEST_REQUIRE(server->start(loopback).ok());
+    int updates = 0;
+    int ends = 0;
+    subscriber_handlers handlers;
+    handlers.on_update_ = [&updates](const registry_update&)
+    {
+        ++updates;
+        return true;
+    };
+    handlers.on_end_ = [&ends](const std::string&)
+    {
+        ++ends;
+    };
+    registry_subscriber client(
+        loop.context_, service_spec(), std::move(handlers));
+    client.start(server->address(), {});
+    loop.run_until(
+        [&]
+        {
+            return updates > 0;
+        });
+    server.reset();
+    loop.run_until(
+        [&]
+        {
+            return ends == 1;
+        });
+}
+
+// Guards against a target that is cold again for the same time and stays warm
+// for the VMs that have a watcher.
+BOOST_AUTO_TEST_CASE(a_subscriber_learns_that_a_target_is_cold_again)
+{
+    listed_target entry;
+    entry.name_ = "a";
+    entry.value_ = target("a", 0).spec_;
+    entry.value_->cold_for_ = milliseconds(3000.0);
+    target_registry watcher;
+    target_registry subscriber;
+    registry_log log;
+    replication_position position;
+    for (const store_revision revision : {5U, 6U})
+    {
+        entry.revision_ = revision;
+        apply_listing(watcher, {entry}, milliseconds(0.0));
+        record_targets(log, watcher.entries_, revision);
+        const auto update = encode_and_decode(update_since(log, position));
+        apply_changes(subscriber, update.changes_, milliseconds(0.0));
+        position.epoch_ = update.epoch_;
+        position.sequence_ = update.sequence_;
+        BOOST_TEST(registered_targets(subscriber).at("a").cold_revision_ ==
+                   revision);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_invalid_watcher_address_ends_the_subscription)
 {
     publisher_and_subscriber vms;
