Keep a grantor's bucket for the window and lease of its own limit

Idle buckets were removed after 60 s, said to be longer than any window, but fleet_limits.account_window_s has no upper bound. A limit that alternates between a small and a large burst within a window beyond 60 s got the large burst again with each new bucket. A bucket is now removable once it is full and the window and longest lease of its limit have passed since its last request, so those of short windows are removed sooner.

The table test and the property test of changing limits failed before (7 checks; falsified) and pass now. only_idle_full_buckets_are_removed checks at 5.4 s of its 5.5 s in place of 50 s of 60 s.

--- a/modules/av_quota/permit_ledger.cpp
+++ b/modules/av_quota/permit_ledger.cpp
@@ -12,9 +12,6 @@
 // Retry-After values are bounded, because many refused callers don't return.
 constexpr milliseconds max_retry_after(5000.0);
 constexpr milliseconds min_retry_after(1.0);
-// Longer than any window, so that the permits of a removed bucket and those of
-// a new one are never used in the same window, even if the limit has changed.
-constexpr milliseconds min_idle_time(60'000.0);
 
 // Adds the tokens that have accumulated since they were last counted.
 void count_tokens(permit_bucket& bucket,
@@ -90,12 +87,15 @@
             std::max(1.0, std::min(bucket.refused_ + 1.0, most_refused));
         grant.retry_after_ = time_to_retry(bucket, share);
     }
-    const auto fill_time = std::max(
-        time_to_fill(bucket.tokens_, share.burst_, share.rate_per_second_),
-        time_to_fill(bucket.reserve_tokens_,
-                     share.reserve_burst_,
-                     share.reserve_rate_per_second_));
-    bucket.full_at_ = bucket.counted_at_ + fill_time;
+    // A full bucket is kept for a window and a lease too, since a new one may
+    // have a higher limit and hold all of its burst.
+    const auto idle_time = std::max(
+        {time_to_fill(bucket.tokens_, share.burst_, share.rate_per_second_),
+         time_to_fill(bucket.reserve_tokens_,
+                      share.reserve_burst_,
+                      share.reserve_rate_per_second_),
+         share.full_after_});
+    bucket.removable_at_ = bucket.counted_at_ + idle_time;
     return grant;
 }
 
@@ -125,9 +125,7 @@
     absl::erase_if(ledger.buckets_,
                    [now](const auto& entry)
                    {
-                       const auto& bucket = entry.second;
-                       return now >= bucket.full_at_ &&
-                              now - bucket.counted_at_ >= min_idle_time;
+                       return now >= entry.second.removable_at_;
                    });
 }
 
--- a/modules/av_quota/tests/permit_decisions_test.cpp
+++ b/modules/av_quota/tests/permit_decisions_test.cpp
@@ -3,6 +3,10 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
+#include <algorithm>
+#include <utility>
+#include <vector>
+
 using namespace anvilturn;
 
 namespace
@@ -178,7 +182,7 @@
     auto share = ten_per_second();
     permit_ledger ledger;
     take_permits(ledger, share, request_for(5), ms(10'000.0));
-    remove_idle(ledger, ms(60'000.0));
+    remove_idle(ledger, ms(15'400.0));
     BOOST_TEST(ledger.buckets_.size() == 1U);
     remove_idle(ledger, ms(70'000.0));
     BOOST_TEST(ledger.buckets_.empty());
@@ -188,6 +192,74 @@
     BOOST_TEST(ledger.buckets_.size() == 1U);
 }
 
+// Guards against permits of a removed bucket and of a new one that are used in
+// one window, which may be of any length, and against a ledger that keeps the
+// buckets of all limits ever used.
+BOOST_AUTO_TEST_CASE(an_idle_bucket_is_kept_for_a_window_and_a_lease)
+{
+    for (const double window_ms :
+         {250.0, 1000.0, 5000.0, 59'700.0, 60'000.0, 120'000.0, 86'400'000.0})
+    {
+        fleet_limit limit;
+        limit.rate_per_second_ = 3000.0;
+        limit.burst_ = 30.0;
+        limit.window_ = ms(window_ms);
+        limit.max_per_window_ = 4000.0 * window_ms;
+        limit.max_lease_ = ms(500.0);
+        const auto share = share_of(limit, 3);
+        permit_ledger ledger;
+        const auto used_at = ms(1e9);
+        BOOST_TEST(
+            take_permits(ledger, share, request_for(1), used_at).permits_ == 1);
+        remove_idle(ledger, used_at + ms(window_ms + 499.0));
+        BOOST_TEST(ledger.buckets_.size() == 1U);
+        remove_idle(ledger, used_at + ms(window_ms + 501.0));
+        BOOST_TEST(ledger.buckets_.empty());
+    }
+}
+
+// Guards against a removal that gives an account more than the higher burst and
+// the higher rate of its limits, which change here more often than they do.
+RC_BOOST_PROP(removal_keeps_the_sum_of_changing_limits_within_a_window, ())
+{
+    const double window_s = generate(1, 300, 1.0);
+    const double lease_s = 0.5;
+    std::vector<grantor_share> shares(2);
+    // A small bucket is soon full, and removed, after which a large one is.
+    shares[0].burst_ = generate(1, 5, 1.0);
+    shares[1].burst_ = generate(50, 200, 1.0);
+    for (auto& share : shares)
+    {
+        share.rate_per_second_ = generate(1, 20, 0.1);
+        share.lease_ = ms(lease_s * 1000.0);
+        share.full_after_ = ms((window_s + lease_s) * 1000.0);
+    }
+    const double most =
+        std::max(shares[0].burst_, shares[1].burst_) +
+        std::max(shares[0].rate_per_second_, shares[1].rate_per_second_) *
+            (window_s + lease_s);
+    permit_ledger ledger;
+    std::vector<std::pair<double, int>> grants;
+    double now_s = 1000.0;
+    for (int step = 0; step < 60; ++step)
+    {
+        now_s += *rc::gen::arbitrary<bool>() ? generate(0, 5, 1.0)
+                                             : generate(55, 70, 1.0);
+        remove_idle(ledger, ms(now_s * 1000.0));
+        const auto& share = shares[*rc::gen::inRange<std::size_t>(0, 2)];
+        const int wanted = *rc::gen::inRange(1, 300);
+        const auto grant = take_permits(
+            ledger, share, request_for(wanted), ms(now_s * 1000.0));
+        grants.emplace_back(now_s, grant.permits_);
+        double in_window = 0.0;
+        for (const auto& [at_s, permits] : grants)
+        {
+            in_window += at_s > now_s - window_s - lease_s ? permits : 0;
+        }
+        RC_ASSERT(in_window <= most + 1e-6);
+    }
+}
+
 // Guards against a late response whose permits are valid for longer than the
 // grantor counts with.
 BOOST_AUTO_TEST_CASE(lease_counts_from_the_request)
