Ask the next grantor if a lease has ended when its permits arrive

A reply whose lease had ended on its way counted as granted, gave no permit to the calls that waited, and began a new round at the same grantor, without end. Such a grantor now counts as one that did not respond in time, for this round: the next one is asked, and the calls get 503 if there is none.

The new test counted more than 10 queries without an answer before, and counts one now.

--- a/modules/av_grants/permit_client.cpp
+++ b/modules/av_grants/permit_client.cpp
@@ -341,7 +341,9 @@
         const auto& limit = request.limit_;
         const auto& grant = entry.grant_;
         const bool has_permits = entry.known_ && grant.permits_ > 0;
-        if (has_permits && now < query.sent_at_ + grant.lease_)
+        const bool has_expired =
+            has_permits && now >= query.sent_at_ + grant.lease_;
+        if (has_permits && !has_expired)
         {
             add_grant(*limit,
                       std::min(grant.permits_, request.wanted_),
@@ -360,6 +362,14 @@
         {
             return;
         }
+        if (has_expired)
+        {
+            // As if the grantor had not responded in time: it would be as late
+            // again, and says nothing about the limit.
+            limit->missed_grantor_ = true;
+            ask_next(limit, now);
+            return;
+        }
         if (entry.known_ && grant.permits_ >= request.wanted_)
         {
             // More calls may have come since the query was sent.
--- a/modules/av_grants/tests/grantor_failure_test.cpp
+++ b/modules/av_grants/tests/grantor_failure_test.cpp
@@ -105,6 +105,41 @@
     BOOST_TEST((acquire().result_ == permit_result::unavailable));
 }
 
+// Permits whose lease has ended when they arrive helped no call, and the VM
+// asked the same grantor for them again and again.
+BOOST_AUTO_TEST_CASE(a_grantor_whose_leases_end_on_their_way_is_asked_once)
+{
+    const permit_grant expired{9, milliseconds(0.0), milliseconds(0.0)};
+    scripted_grantor late(context_,
+                          [expired](const permit_query& query)
+                          {
+                              return grant_each(query, expired);
+                          });
+    start_client({late.address()});
+    std::optional<permit_answer> answer;
+    client_->acquire(school,
+                     [&answer](const permit_answer& value)
+                     {
+                         answer = value;
+                     });
+    BOOST_TEST(run_until(
+        [&answer, &late]
+        {
+            return answer || late.queries().size() > 10U;
+        }));
+    BOOST_TEST_REQUIRE(answer.has_value());
+    // Not 429, since nothing says that the limit is reached.
+    BOOST_TEST((answer->result_ == permit_result::unavailable));
+    BOOST_TEST(late.queries().size() == 1U);
+    // Another one is asked instead, with the reserve if it has nothing else.
+    start_client({late.address(), add_server(always(ample_limit()))});
+    for (int i = 0; i < 5; ++i)
+    {
+        BOOST_TEST(
+            is_granted(acquire({limit_kind::account, std::to_string(i)})));
+    }
+}
+
 // The bounds must hold again, and calls be sent again, 2 s after an owner of
 // limits was killed and started again.
 BOOST_AUTO_TEST_CASE(a_restarted_grantor_is_used_again_within_2_s)
