--- a/modules/av_proxy/held_permit.hpp
+++ b/modules/av_proxy/held_permit.hpp
@@ -6,6 +6,8 @@
 #include <av_core/milliseconds.hpp>
 #include <av_quota/limit_key.hpp>
 
+#include <optional>
+
 namespace anvilturn
 {
 
@@ -18,6 +20,12 @@
     bool spent_ = false;
 };
 
+// Returns whether a call may be sent with the permit now.
+inline bool is_valid(const std::optional<held_permit>& permit, milliseconds now)
+{
+    return permit && !permit->spent_ && now < permit->expires_at_;
+}
+
 } // namespace anvilturn
 
 #endif
--- a/modules/av_proxy/proxied_call_permits.cpp
+++ b/modules/av_proxy/proxied_call_permits.cpp
@@ -21,12 +21,7 @@
     {
         return true;
     }
-    if (!account_permit_)
-    {
-        return false;
-    }
-    if (account_permit_->spent_ ||
-        worker_.now() >= account_permit_->expires_at_)
+    if (!is_valid(account_permit_, worker_.now()))
     {
         account_permit_.reset();
     }
@@ -104,9 +99,8 @@
     const auto now = worker_.now();
     const bool needs_target_permit =
         worker_.limits_cold_targets(*service_) && is_cold(*target_, now);
-    const bool has_target_permit =
-        target_permit_ && now < target_permit_->expires_at_;
-    return has_account_permit() && (!needs_target_permit || has_target_permit);
+    return has_account_permit() &&
+           (!needs_target_permit || is_valid(target_permit_, now));
 }
 
 void proxied_call::spend_permits()
