Do not count an attempt whose permit expired before it was sent

on_connected ended such an attempt as one whose answer was lost, so a call whose permits expired eight times while it connected got 503 target_unreachable, each was logged as target_answer_lost and counted as an extra attempt, though nothing was sent. The attempt is now withdrawn: it is logged as permit_expired, does not count, and leaves the reason for a later refusal as it was. Withdrawals end at the call's deadline, and each needs a new grant or change of the target.

The test withdraws ten attempts and has a target refuse the next; before, the call was refused after eight.

--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -303,6 +303,7 @@
     buffered_response_.clear();
     buffers_response_ = false;
     attempts_ = 0;
+    withdrawn_attempts_ = 0;
     possible_runs_ = 0;
     latency_objective_ = milliseconds(0.0);
     work_.reset();
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -32,7 +32,8 @@
 class worker;
 struct worker_service_state;
 
-// Maximum number of attempts of one call, including those that were refused.
+// Maximum number of attempts of one call, including those that were refused but
+// not those that were withdrawn because a permit had expired.
 constexpr int max_total_attempts = 8;
 
 // One call on a caller's connection: finds its service, waits for a target,
@@ -156,6 +157,8 @@
     std::string& response_output();
     void flush_buffered_response();
     bool keeps_connection() const;
+    bool has_attempts_left() const;
+    void withdraw_attempt();
     void end_attempt(error_kind kind, bool refused);
     bool target_has_room() const;
     void release_connection(error_kind kind, bool refused);
@@ -168,7 +171,7 @@
     void record_outcome(call_outcome outcome) const;
     milliseconds retry_after(error_kind reason) const;
     void log_attempt_start() const;
-    void log_attempt_end(error_kind kind, bool refused) const;
+    void log_attempt_end(std::string_view reason, bool refused) const;
     void log_call_end(std::string_view outcome, std::string_view reason) const;
     void finish(bool keep_alive);
 
@@ -248,6 +251,8 @@
     int load_at_start_ = 0;
     double slowdown_at_start_ = 1.0;
     int attempts_ = 0;
+    // Attempts of which nothing was sent for want of a permit.
+    int withdrawn_attempts_ = 0;
     // Attempts of this call that may have run.
     int possible_runs_ = 0;
     std::vector<const target_state*> excluded_;
--- a/modules/av_proxy/proxied_call_attempt.cpp
+++ b/modules/av_proxy/proxied_call_attempt.cpp
@@ -94,13 +94,17 @@
         end_attempt(error_kind::deadline_exceeded, false);
         return;
     }
-    if (was_paused(attempt_started_at_, now) || !may_send_now())
+    if (was_paused(attempt_started_at_, now))
     {
-        // The choice may be outdated, or a permit that it was based on has
-        // expired; nothing was sent yet, so choose again.
+        // The choice may be outdated; nothing was sent yet, so choose again.
         end_attempt(error_kind::target_answer_lost, false);
         return;
     }
+    if (!may_send_now())
+    {
+        withdraw_attempt();
+        return;
+    }
     auto& connection = *connection_;
     request_additions additions;
     additions.call_id_ = call_id_;
--- a/modules/av_proxy/proxied_call_end.cpp
+++ b/modules/av_proxy/proxied_call_end.cpp
@@ -42,7 +42,7 @@
     const bool nothing_sent = phase == call_phase::dispatched;
     const bool budget_exempt = to_vm_ || nothing_sent;
     possible_runs_ += nothing_sent || refused ? 0 : 1;
-    log_attempt_end(kind, refused);
+    log_attempt_end(describe(kind).name_, refused);
     release_attempt_permits(refused);
     release_connection(kind, refused);
     attempt_summary result;
@@ -50,7 +50,7 @@
     result.replayable_ = !body_dropped_;
     result.is_before_deadline_ = worker_.now() < deadline_;
     result.retry_budget_left_ =
-        possible_runs_ < max_attempts_ && attempts_ < max_total_attempts &&
+        possible_runs_ < max_attempts_ && has_attempts_left() &&
         (budget_exempt || allows_extra_attempt(worker_state_->budget_));
     const auto outcome = lifecycle_.end_attempt(result);
     if (outcome == attempt_outcome::retry_allowed)
@@ -70,6 +70,35 @@
     worker_.on_slot_freed(service);
 }
 
+bool proxied_call::has_attempts_left() const
+{
+    return attempts_ - withdrawn_attempts_ < max_total_attempts;
+}
+
+// Ends an attempt of which nothing was sent because a permit has expired since
+// the choice, or the target has become cold, and chooses again. It is no
+// failure of the target, and the call has not used an attempt.
+void proxied_call::withdraw_attempt()
+{
+    const auto self = link_.share_call();
+    const auto service = service_->state_;
+    ++withdrawn_attempts_;
+    log_attempt_end("permit_expired", false);
+    release_attempt_permits(false);
+    std::exchange(connection_, nullptr)->abandon();
+    connecting_ = false;
+    release_target();
+    // A call whose body was dropped gets no further attempt that could end
+    // here.
+    attempt_summary result;
+    result.replayable_ = true;
+    result.is_before_deadline_ = true;
+    result.retry_budget_left_ = true;
+    lifecycle_.end_attempt(result);
+    route_call();
+    worker_.on_slot_freed(service);
+}
+
 // Releases the attempt's connection and slot, and records the result.
 void proxied_call::release_connection(error_kind kind, bool refused)
 {
@@ -284,7 +313,7 @@
         .write();
 }
 
-void proxied_call::log_attempt_end(error_kind kind, bool refused) const
+void proxied_call::log_attempt_end(std::string_view reason, bool refused) const
 {
     if (!is_logged(log_level::info))
     {
@@ -294,7 +323,7 @@
         .field("call", call_id_)
         .field(to_vm_ ? "home_vm" : "target", target_->name_)
         .field("attempt", attempts_)
-        .field("reason", describe(kind).name_)
+        .field("reason", reason)
         .field("refused", refused)
         .field("ran_ms", (worker_.now() - attempt_started_at_).count())
         .write();
--- a/modules/av_proxy/proxied_call_response.cpp
+++ b/modules/av_proxy/proxied_call_response.cpp
@@ -187,8 +187,7 @@
 {
     // The current attempt counts as one that may have run.
     return idempotent_ && !body_dropped_ &&
-           possible_runs_ + 1 < max_attempts_ &&
-           attempts_ < max_total_attempts &&
+           possible_runs_ + 1 < max_attempts_ && has_attempts_left() &&
            worker_.now() < latest_start(deadline_, work_time()) &&
            allows_extra_attempt(worker_state_->budget_);
 }
--- a/modules/av_proxy/tests/late_check_test.cpp
+++ b/modules/av_proxy/tests/late_check_test.cpp
@@ -4,8 +4,11 @@
 #include "permits_fixture.hpp"
 
 #include <av_proxy/held_permit.hpp>
+#include <av_proxy/proxied_call.hpp>
 #include <av_routing/choice_policy.hpp>
 
+#include <algorithm>
+
 namespace anvilturn::test
 {
 namespace
@@ -16,10 +19,17 @@
 // Called on the thread of the request path while a target is being chosen.
 std::function<void()> on_choice;
 
-std::optional<std::size_t> choose_first(const choice_input&)
+std::optional<std::size_t> choose_first(const choice_input& input)
 {
     on_choice();
-    return 0;
+    const auto& targets = input.targets_;
+    const auto found = std::find_if(targets.begin(),
+                                    targets.end(),
+                                    [](const target_view& target)
+                                    {
+                                        return target.eligible_;
+                                    });
+    return static_cast<std::size_t>(found - targets.begin());
 }
 
 std::optional<std::size_t> request_no_permit(const choice_input&)
@@ -38,16 +48,19 @@
 
 const plugin_registration<choice_policy> scripted_policy(scripted_choice());
 
-// A request path whose only target becomes cold after each of the first
-// choices, when no permit was taken with it, and is warm after the next one.
+// A request path whose targets become cold during each of the first choices,
+// which take no permit with them, and are warm after the next one.
 class relay_with_late_coldness
 {
 public:
-    relay_with_late_coldness(const std::string& target, int cold_choices)
-        : release_(make_release({target}, "scripted_choice"))
+    relay_with_late_coldness(const std::vector<std::string>& targets,
+                             int cold_choices)
+        : release_(make_release(targets, "scripted_choice"))
         , cold_choices_(cold_choices)
     {
         release_.services_["kits"].cold_rate_per_second_ = 4.5;
+        // A call may be sent again at once.
+        release_.services_["kits"].retry_ratio_ = 1.0;
         vm_ = std::make_unique<relay>(
             release_, settings_with_grantors({grantor_.address()}));
         on_choice = [this]
@@ -91,6 +104,24 @@
     std::unique_ptr<relay> vm_;
 };
 
+// Accepts the next connection on which a request is sent.
+test_connection accept_request(scripted_target& target)
+{
+    for (;;)
+    {
+        wait_until(
+            [&target]
+            {
+                return target.has_pending_connection();
+            });
+        auto connection = target.accept();
+        if (!connection.read_header().empty())
+        {
+            return connection;
+        }
+    }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(late_check)
@@ -104,12 +135,33 @@
         {
             return std::string();
         });
-    relay_with_late_coldness fixture(target.address(), 1);
+    relay_with_late_coldness fixture({target.address()}, 1);
     BOOST_TEST(call_once(fixture.vm(), request("/kits", "")) == served);
     BOOST_TEST(fixture.choices() == 2);
     BOOST_TEST(target.calls() == 1);
 }
 
+// A call of which nothing was sent was refused after eight permits that
+// expired, as one whose response was lost. It may still be refused by a target
+// and go to another one.
+BOOST_AUTO_TEST_CASE(a_call_that_was_not_sent_has_not_used_an_attempt)
+{
+    constexpr int unsent = max_total_attempts + 2;
+    scripted_target first;
+    scripted_target second;
+    relay_with_late_coldness fixture({first.address(), second.address()},
+                                     unsent);
+    auto caller = fixture.vm().call();
+    caller.send(request("/kits", ""));
+    auto refusing = accept_request(first);
+    refusing.send("HTTP/1.1 503 Busy\r\nAnvilturn-Not-Run: 1\r\n"
+                  "Content-Length: 0\r\n\r\n");
+    accept_request(second).send(ok("done"));
+    BOOST_TEST(read_result(caller) == served);
+    BOOST_TEST(fixture.choices() == unsent + 2);
+    BOOST_TEST(fixture.vm().path().statistics().extra_attempts_ == 1U);
+}
+
 // Guards against a permit that is used after its lease, when the grantor counts
 // with the calls of others, and against one that is used twice.
 BOOST_AUTO_TEST_CASE(a_permit_is_valid_until_it_expires_or_is_spent)
