Split share_of into one function for each of its decisions

share_of computed the part of the bound, the lease, the burst and rate where the bound is tight, and the reserve in 55 lines. Each is a function of its own now, with the same expressions in the same order. av_quota passes, with the property test of the shares.

--- a/modules/av_quota/fleet_limit.cpp
+++ b/modules/av_quota/fleet_limit.cpp
@@ -26,6 +26,51 @@
     return time.count() / ms_per_second;
 }
 
+// Returns one grantor's part of the bound.
+double maximum_of(const fleet_limit& limit, double grantor_count)
+{
+    return std::max(
+        0.0, limit.max_per_window_ / grantor_count * (1.0 - rounding_margin));
+}
+
+// Returns the longest lease for which the permits of a window and a lease stay
+// within the maximum.
+milliseconds
+lease_of(const grantor_share& share, const fleet_limit& limit, double maximum)
+{
+    const double spare = maximum - share.burst_ -
+                         share.rate_per_second_ * seconds(limit.window_);
+    const double longest_s =
+        share.rate_per_second_ > 0.0 ? spare / share.rate_per_second_ : 0.0;
+    const auto shortest = std::min(min_lease, limit.max_lease_);
+    return milliseconds(std::clamp(
+        longest_s * ms_per_second, shortest.count(), limit.max_lease_.count()));
+}
+
+// Lowers the burst and rate where the bound is too tight for the shortest
+// lease: the burst shrinks first, down to one permit, then the rate.
+void fit_within(grantor_share& share, double covered_s, double maximum)
+{
+    share.burst_ = std::clamp(maximum - share.rate_per_second_ * covered_s,
+                              std::min(min_burst, maximum),
+                              share.burst_);
+    share.rate_per_second_ =
+        std::min(share.rate_per_second_, (maximum - share.burst_) / covered_s);
+}
+
+// Makes the rest of the bound the reserve, which replaces what one of the other
+// grantors would have granted, as far as the bound allows.
+void set_reserve(grantor_share& share,
+                 double rest,
+                 double covered_s,
+                 double grantor_count)
+{
+    share.reserve_rate_per_second_ =
+        std::min(share.rate_per_second_ / (grantor_count - 1.0),
+                 (rest - min_burst) / covered_s);
+    share.reserve_burst_ = rest - share.reserve_rate_per_second_ * covered_s;
+}
+
 } // namespace
 
 std::optional<fleet_limit> account_limit(const account_spec& account,
@@ -71,47 +116,26 @@
 {
     const auto count =
         static_cast<double>(std::max<std::size_t>(1, grantor_count));
-    const double window_s = seconds(limit.window_);
-    const double maximum =
-        std::max(0.0, limit.max_per_window_ / count * (1.0 - rounding_margin));
+    const double maximum = maximum_of(limit, count);
     grantor_share share;
     share.rate_per_second_ = limit.rate_per_second_ / count;
     // The fractions of tokens that are left at each grantor add up to almost
     // one permit for each, so a part of the burst would never be granted.
     share.burst_ = limit.burst_ / count + min_burst;
     share.full_after_ = limit.window_ + limit.max_lease_;
-    const double spare =
-        maximum - share.burst_ - share.rate_per_second_ * window_s;
-    const double longest_s =
-        share.rate_per_second_ > 0.0 ? spare / share.rate_per_second_ : 0.0;
-    const auto shortest = std::min(min_lease, limit.max_lease_);
-    share.lease_ = milliseconds(std::clamp(
-        longest_s * ms_per_second, shortest.count(), limit.max_lease_.count()));
-    // The bound may be too tight for the shortest lease: the burst shrinks
-    // first, down to one permit, then the rate.
-    const double covered_s = window_s + seconds(share.lease_);
-    share.burst_ = std::clamp(maximum - share.rate_per_second_ * covered_s,
-                              std::min(min_burst, maximum),
-                              share.burst_);
-    share.rate_per_second_ =
-        std::min(share.rate_per_second_, (maximum - share.burst_) / covered_s);
-    double reserve =
-        maximum - share.burst_ - share.rate_per_second_ * covered_s;
-    if (limit.burst_ > 0.0 && reserve > 0.0)
+    share.lease_ = lease_of(share, limit, maximum);
+    const double covered_s = seconds(limit.window_) + seconds(share.lease_);
+    fit_within(share, covered_s, maximum);
+    double rest = maximum - share.burst_ - share.rate_per_second_ * covered_s;
+    if (limit.burst_ > 0.0 && rest > 0.0)
     {
         // Makes up for permits that VMs prefetch and don't use.
-        share.burst_ += reserve * extra_burst_fraction;
-        reserve -= reserve * extra_burst_fraction;
+        share.burst_ += rest * extra_burst_fraction;
+        rest -= rest * extra_burst_fraction;
     }
-    if (grantor_count > 1 && reserve >= min_burst)
+    if (grantor_count > 1 && rest >= min_burst)
     {
-        // Replaces what one of the other grantors would have granted, as far
-        // as the bound allows.
-        share.reserve_rate_per_second_ =
-            std::min(share.rate_per_second_ / (count - 1.0),
-                     (reserve - min_burst) / covered_s);
-        share.reserve_burst_ =
-            reserve - share.reserve_rate_per_second_ * covered_s;
+        set_reserve(share, rest, covered_s, count);
     }
     return share;
 }
