Tests: set up calls to two targets, and to one, in one place

Three tests of permits_test repeated the set-up of a call to either of two targets, and four of platform_rules_test that of a call whose target has its first request; first_connected stood in both files. Checks are unchanged, and av_proxy passes.

--- a/modules/av_proxy/tests/permits_test.cpp
+++ b/modules/av_proxy/tests/permits_test.cpp
@@ -169,85 +169,71 @@
     BOOST_TEST(grantor.statistics().queries_ == 1U);
 }
 
+// A call to either of two targets, at a grantor that grants no more permits
+// than its limit.
+struct two_targets
+{
+    explicit two_targets(const fleet_limit& limit)
+        : grantor_(always(limit))
+    {
+        wait_until_bucket_is_full();
+    }
+
+    test_grantor grantor_;
+    scripted_target a_;
+    scripted_target b_;
+    relay vm_{release_with_quota({a_.address(), b_.address()}),
+              settings_with_grantors({grantor_.address()})};
+    test_connection caller_ = vm_.call();
+};
+
 // An attempt that a target refused has not run and does not count.
 BOOST_AUTO_TEST_CASE(an_attempt_after_a_refusal_uses_the_same_permit)
 {
-    test_grantor grantor(always(one_permit()));
-    scripted_target first;
-    scripted_target second;
-    relay vm(release_with_quota({first.address(), second.address()}),
-             settings_with_grantors({grantor.address()}));
-    wait_until_bucket_is_full();
-    auto caller = vm.call();
-    caller.send(request("/kits"));
-    wait_until(
-        [&]
-        {
-            return first.has_pending_connection() ||
-                   second.has_pending_connection();
-        });
-    const bool is_first = first.has_pending_connection();
-    auto refusing = (is_first ? first : second).accept();
-    refusing.read_header();
-    refusing.send("HTTP/1.1 503 Busy\r\nAnvilturn-Not-Run: 1\r\n"
-                  "Content-Length: 0\r\n\r\n");
-    auto other = (is_first ? second : first).accept();
+    two_targets call(one_permit());
+    call.caller_.send(request("/kits"));
+    auto& refusing = first_connected(call.a_, call.b_);
+    auto refused = refusing.accept();
+    refused.read_header();
+    refused.send("HTTP/1.1 503 Busy\r\nAnvilturn-Not-Run: 1\r\n"
+                 "Content-Length: 0\r\n\r\n");
+    auto other = (&refusing == &call.a_ ? call.b_ : call.a_).accept();
     other.read_header();
     other.send(ok("done"));
-    BOOST_TEST(read_result(caller) == served);
-    BOOST_TEST(grantor.statistics().permits_ == 1U);
+    BOOST_TEST(read_result(call.caller_) == served);
+    BOOST_TEST(call.grantor_.statistics().permits_ == 1U);
 }
 
 // Sends an idempotent call and loses its first attempt, which may have run, at
 // whichever target got it. Returns the other target.
-scripted_target& lose_first_attempt(test_connection& caller,
-                                    scripted_target& a,
-                                    scripted_target& b)
+scripted_target& lose_first_attempt(two_targets& call)
 {
-    caller.send(request("/kits/availability"));
-    wait_until(
-        [&]
-        {
-            return a.has_pending_connection() || b.has_pending_connection();
-        });
-    const bool is_at_a = a.has_pending_connection();
-    auto losing = (is_at_a ? a : b).accept();
+    call.caller_.send(request("/kits/availability"));
+    auto& target = first_connected(call.a_, call.b_);
+    auto losing = target.accept();
     losing.read_header();
     losing.reset();
-    return is_at_a ? b : a;
+    return &target == &call.a_ ? call.b_ : call.a_;
 }
 
 // Guards against runs beyond the quota by further attempts.
 BOOST_AUTO_TEST_CASE(an_attempt_after_one_that_may_have_run_needs_a_new_permit)
 {
-    test_grantor grantor(always(two_permits()));
-    scripted_target a;
-    scripted_target b;
-    relay vm(release_with_quota({a.address(), b.address()}),
-             settings_with_grantors({grantor.address()}));
-    wait_until_bucket_is_full();
-    auto caller = vm.call();
-    auto& other = lose_first_attempt(caller, a, b);
-    auto connection = other.accept();
+    two_targets call(two_permits());
+    auto connection = lose_first_attempt(call).accept();
     connection.read_header();
     connection.send(ok("done"));
-    BOOST_TEST(read_result(caller) == served);
-    BOOST_TEST(grantor.statistics().permits_ == 2U);
+    BOOST_TEST(read_result(call.caller_) == served);
+    BOOST_TEST(call.grantor_.statistics().permits_ == 2U);
 }
 
 // Status 429 would promise that the call has not run, though an attempt may
 // have.
 BOOST_AUTO_TEST_CASE(a_call_that_may_have_run_never_gets_429)
 {
-    test_grantor grantor(always(one_permit()));
-    scripted_target a;
-    scripted_target b;
-    relay vm(release_with_quota({a.address(), b.address()}),
-             settings_with_grantors({grantor.address()}));
-    wait_until_bucket_is_full();
-    auto caller = vm.call();
-    auto& other = lose_first_attempt(caller, a, b);
-    const auto result = read_result(caller);
+    two_targets call(one_permit());
+    auto& other = lose_first_attempt(call);
+    const auto result = read_result(call.caller_);
     BOOST_TEST(contains(result, " unknown "));
     BOOST_TEST(result.substr(0, 1) == "5");
     BOOST_TEST(result.substr(0, 3) != "503");
--- a/modules/av_proxy/tests/platform_rules_test.cpp
+++ b/modules/av_proxy/tests/platform_rules_test.cpp
@@ -35,21 +35,38 @@
     return ok(body, "X-Call: " + id + "\r\nX-Signed: 1\r\n");
 }
 
-scripted_target& first_connected(scripted_target& a, scripted_target& b)
-{
-    wait_until(
-        [&]
-        {
-            return a.has_pending_connection() || b.has_pending_connection();
-        });
-    return a.has_pending_connection() ? a : b;
-}
-
 std::string status_line_of(const std::string& header)
 {
     return header.substr(0, header.find("\r\n"));
 }
 
+// A call "one" whose target has got the first request: the call itself or a
+// query of the load.
+struct started_call
+{
+    explicit started_call(release (*adapt)(release) = nullptr)
+        : vm_(adapt == nullptr ? make_release({target_.address()})
+                               : adapt(make_release({target_.address()})),
+              custom_dialect_settings())
+        , caller_(vm_.call())
+        , connection_(begin())
+    {
+    }
+
+    test_connection begin()
+    {
+        caller_.send(request("/kits", "one"));
+        auto connection = target_.accept();
+        connection.read_header();
+        return connection;
+    }
+
+    scripted_target target_;
+    relay vm_;
+    test_connection caller_;
+    test_connection connection_;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(platform_rules)
@@ -276,20 +293,14 @@
     {
         BOOST_TEST_CONTEXT(status)
         {
-            scripted_target target;
-            relay vm(with_load_queries(make_release({target.address()})),
-                     custom_dialect_settings());
-            auto caller = vm.call();
-            caller.send(request("/kits", "one"));
-            auto connection = target.accept();
-            connection.read_header();
-            connection.send(health_response);
-            BOOST_TEST(
-                contains(connection.read_header(), "GET /kits HTTP/1.1\r\n"));
-            connection.send("HTTP/1.1 " + status +
-                            "\r\nContent-Length: 0\r\n\r\n");
-            connection.send(signed_response("one", "yes"));
-            BOOST_TEST(status_line_of(caller.read_header()) ==
+            started_call call(with_load_queries);
+            call.connection_.send(health_response);
+            BOOST_TEST(contains(call.connection_.read_header(),
+                                "GET /kits HTTP/1.1\r\n"));
+            call.connection_.send("HTTP/1.1 " + status +
+                                  "\r\nContent-Length: 0\r\n\r\n");
+            call.connection_.send(signed_response("one", "yes"));
+            BOOST_TEST(status_line_of(call.caller_.read_header()) ==
                        "HTTP/1.1 200 OK");
         }
     }
@@ -299,38 +310,28 @@
 // which would be sent to another target while this one runs it.
 BOOST_AUTO_TEST_CASE(a_connection_is_not_reused_after_a_refused_load_query)
 {
-    scripted_target target;
-    relay vm(with_load_queries(make_release({target.address()})),
-             custom_dialect_settings());
-    auto caller = vm.call();
-    caller.send(request("/kits", "one"));
-    auto connection = target.accept();
-    connection.read_header();
-    connection.send("HTTP/1.1 503 Busy\r\nAnvilturn-Not-Run: 1\r\n"
-                    "Anvilturn-Load: busy=1, queued=0, slots=6\r\n"
-                    "Content-Length: 0\r\n\r\n");
-    BOOST_TEST(connection.read_to_end() == "");
+    started_call call(with_load_queries);
+    call.connection_.send("HTTP/1.1 503 Busy\r\nAnvilturn-Not-Run: 1\r\n"
+                          "Anvilturn-Load: busy=1, queued=0, slots=6\r\n"
+                          "Content-Length: 0\r\n\r\n");
+    BOOST_TEST(call.connection_.read_to_end() == "");
 }
 
 // A late copy of a response without a call id can't be told from the response
 // to the next call.
 BOOST_AUTO_TEST_CASE(a_connection_is_not_reused_after_a_response_without_id)
 {
-    scripted_target target;
-    relay vm(make_release({target.address()}), custom_dialect_settings());
-    auto caller = vm.call();
-    caller.send(request("/kits", "one"));
-    auto connection = target.accept();
-    connection.read_header();
-    connection.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
-    BOOST_TEST(status_line_of(caller.read_header()) ==
+    started_call call;
+    call.connection_.send(
+        "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+    BOOST_TEST(status_line_of(call.caller_.read_header()) ==
                "HTTP/1.1 404 Not Found");
-    caller.send(request("/kits", "two"));
-    BOOST_TEST(connection.read_to_end() == "");
-    auto fresh = target.accept();
+    call.caller_.send(request("/kits", "two"));
+    BOOST_TEST(call.connection_.read_to_end() == "");
+    auto fresh = call.target_.accept();
     fresh.read_header();
     fresh.send(signed_response("two", "yes"));
-    BOOST_TEST(status_line_of(caller.read_header()) == "HTTP/1.1 200 OK");
+    BOOST_TEST(status_line_of(call.caller_.read_header()) == "HTTP/1.1 200 OK");
 }
 
 // The end of the other call's response was taken for the end of this call's,
@@ -338,19 +339,15 @@
 BOOST_AUTO_TEST_CASE(
     a_stray_response_that_ends_with_its_connection_ends_no_call)
 {
-    scripted_target target;
-    relay vm(make_release({target.address()}), custom_dialect_settings());
-    auto caller = vm.call();
-    caller.send(request("/kits", "one"));
-    auto connection = target.accept();
-    connection.read_header();
-    connection.send("HTTP/1.1 200 OK\r\nX-Call: zero\r\nX-Signed: 1\r\n\r\n"
-                    "of an earlier call");
-    connection.close();
-    const auto header = caller.read_header();
+    started_call call;
+    call.connection_.send(
+        "HTTP/1.1 200 OK\r\nX-Call: zero\r\nX-Signed: 1\r\n\r\n"
+        "of an earlier call");
+    call.connection_.close();
+    const auto header = call.caller_.read_header();
     BOOST_TEST(status_line_of(header) == "HTTP/1.1 502 Bad Gateway");
     BOOST_TEST(outcome_of(header) == "unknown target_answer_lost");
-    BOOST_TEST(vm.path().statistics().answered_ == 0U);
+    BOOST_TEST(call.vm_.path().statistics().answered_ == 0U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/av_proxy/tests/relay_fixture.hpp
+++ b/modules/av_proxy/tests/relay_fixture.hpp
@@ -364,6 +364,17 @@
     }
 }
 
+// Waits for a connection to one of the targets. Returns that target.
+inline scripted_target& first_connected(scripted_target& a, scripted_target& b)
+{
+    wait_until(
+        [&]
+        {
+            return a.has_pending_connection() || b.has_pending_connection();
+        });
+    return a.has_pending_connection() ? a : b;
+}
+
 inline bool contains(const std::string& text, const std::string& part)
 {
     return text.find(part) != std::string::npos;
