--- a/modules/av_proxy/tests/platform_rules_test.cpp
+++ b/modules/av_proxy/tests/platform_rules_test.cpp
@@ -46,16 +46,6 @@
     return ok(body, "X-Call: " + id + "\r\nX-Signed: 1\r\n");
 }
 
-scripted_target& first_connected(scripted_target& a, scripted_target& b)
-{
-    wait_until(
-        [&]
-        {
-            return a.has_pending_connection() || b.has_pending_connection();
-        });
-    return a.has_pending_connection() ? a : b;
-}
-
 // The call "one", which has arrived at the only target.
 struct one_target_call
 {
