Send idempotent calls at a slowed target to a second one

A call that began at a slowed target took five times as long or more, and nothing could be done for it before it failed. With services.hedge_ratio it is sent to another target that has room by a recent load response. hedged_attempt is the attempt beside the call's own; the call switches to it when it responds first or its own attempt fails, and then treats it as any attempt. The loser's connection is closed at once. A call that either target may have run gets no status that says it has not run. Off by default; see docs/design/hedging.md.

Not run on a deployment or under the sanitizers.

--- a/modules/av_call/call_lifecycle.cpp
+++ b/modules/av_call/call_lifecycle.cpp
@@ -229,6 +229,11 @@
     }
 }
 
+void call_lifecycle::record_parallel_run()
+{
+    machine_->machine_.input_.earlier_may_have_run_ = true;
+}
+
 void call_lifecycle::record_response_started()
 {
     auto& machine = machine_->machine_;
--- a/modules/av_call/call_lifecycle.hpp
+++ b/modules/av_call/call_lifecycle.hpp
@@ -66,6 +66,10 @@
     // target.
     void record_bytes_sent();
 
+    // Records that the call may have run in another attempt, which was made
+    // beside this one and has ended.
+    void record_parallel_run();
+
     // Records that at least one byte of a response was written to the caller.
     void record_response_started();
 
--- a/modules/av_daemon/daemon_options.cpp
+++ b/modules/av_daemon/daemon_options.cpp
@@ -36,6 +36,7 @@
     path.idle_timeout_ = section.idle_timeout_;
     path.connect_timeout_ = section.connect_timeout_;
     path.limit_bounds_ = limit_bounds_of(value);
+    path.hedge_ratio_ = value.services().hedge_ratio_;
     path.regions_ = value.vm().regions_;
     return path;
 }
--- a/modules/av_daemon/metrics_page.cpp
+++ b/modules/av_daemon/metrics_page.cpp
@@ -88,6 +88,18 @@
                  "Attempts after the first one of a call.",
                  {},
                  requests.extra_attempts_);
+    list.counter("hedges_total",
+                 "Calls that were sent to a second target while they ran.",
+                 {},
+                 requests.hedges_sent_);
+    list.counter("hedges_won_total",
+                 "Hedges that responded before the first attempt.",
+                 {},
+                 requests.hedges_won_);
+    list.counter("hedges_suppressed_total",
+                 "Calls that a budget kept from being hedged.",
+                 {},
+                 requests.hedges_suppressed_);
     list.counter("probes_total",
                  "Probes that this VM sent to targets.",
                  {},
--- a/modules/av_daemon/state_dump.cpp
+++ b/modules/av_daemon/state_dump.cpp
@@ -227,6 +227,9 @@
     put(out, "unknown", requests.unknown_);
     put(out, "forwarded_to_home", requests.forwarded_);
     put(out, "extra_attempts", requests.extra_attempts_);
+    put(out, "hedges_sent", requests.hedges_sent_);
+    put(out, "hedges_won", requests.hedges_won_);
+    put(out, "hedges_suppressed", requests.hedges_suppressed_);
     put(out, "probes_sent", state.probes_sent_);
     put(out, "in_flight", requests.calls_in_flight_);
     put(out, "caller_connections", requests.caller_connections_);
--- a/modules/av_proxy/path_core.hpp
+++ b/modules/av_proxy/path_core.hpp
@@ -34,6 +34,9 @@
     std::atomic<std::uint64_t> unknown_{0};
     std::atomic<std::uint64_t> forwarded_{0};
     std::atomic<std::uint64_t> extra_attempts_{0};
+    std::atomic<std::uint64_t> hedges_sent_{0};
+    std::atomic<std::uint64_t> hedges_won_{0};
+    std::atomic<std::uint64_t> hedges_suppressed_{0};
     std::array<std::atomic<std::uint64_t>, error_kind_count> reasons_{};
     std::atomic<int> calls_{0};
     std::atomic<int> connections_{0};
--- a/modules/av_proxy/proxied_call.cpp
+++ b/modules/av_proxy/proxied_call.cpp
@@ -4,6 +4,7 @@
 #include <av_proxy/proxied_call.hpp>
 
 #include <av_limits/start_schedule.hpp>
+#include <av_proxy/hedged_attempt.hpp>
 #include <av_proxy/worker.hpp>
 
 #include <algorithm>
@@ -73,7 +74,8 @@
 
 std::size_t proxied_call::buffered_bytes() const
 {
-    return body_.size() + buffered_response_.size();
+    const auto hedged = hedge_ == nullptr ? 0 : hedge_->buffered_bytes();
+    return body_.size() + buffered_response_.size() + hedged;
 }
 
 void proxied_call::on_request_body(bool complete)
@@ -109,6 +111,7 @@
         worker_.withdraw(*this, *worker_state_);
     }
     const auto connection = std::exchange(connection_, nullptr);
+    cancel_hedge();
     if (connection != nullptr)
     {
         connection->abandon();
@@ -192,8 +195,10 @@
 
 bool proxied_call::is_excluded(const target_state* state) const
 {
-    return std::find(excluded_.begin(), excluded_.end(), state) !=
-           excluded_.end();
+    // While an attempt runs, its target is no choice for a hedge.
+    return state == target_.get() ||
+           std::find(excluded_.begin(), excluded_.end(), state) !=
+               excluded_.end();
 }
 
 const service_entry& proxied_call::service() const
@@ -286,6 +291,10 @@
     account_permit_.reset();
     target_permit_.reset();
     awaits_permit_ = false;
+    if (hedge_ != nullptr)
+    {
+        hedge_->reset();
+    }
     worker_state_ = nullptr;
     ticket_.reset();
     started_at_ = arrived_at;
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -6,8 +6,10 @@
 #include <av_call/call_lifecycle.hpp>
 #include <av_core/error.hpp>
 #include <av_core/milliseconds.hpp>
+#include <av_http/message_writer.hpp>
 #include <av_http/request_head.hpp>
 #include <av_limits/call_queue.hpp>
+#include <av_limits/hedging.hpp>
 #include <av_limits/work_estimate.hpp>
 #include <av_model/call_outcome.hpp>
 #include <av_proxy/attempt_observer.hpp>
@@ -28,6 +30,7 @@
 namespace anvilturn
 {
 
+class hedged_attempt;
 struct permit_answer;
 class worker;
 struct worker_service_state;
@@ -113,6 +116,8 @@
     void set_ticket(std::optional<queue_ticket> value);
 
 private:
+    friend class hedged_attempt;
+
     // attempt_observer
     void on_connected() override;
     void on_bytes_sent() override;
@@ -145,8 +150,16 @@
     void release_attempt_permits(bool refused);
     void return_permit(std::optional<held_permit>& permit);
     void start_attempt(const target_entry& target, bool to_vm);
+    request_additions additions_for(const target_state& target,
+                                    milliseconds now) const;
     void send_body();
-    void record_response_head(const response_head& head);
+    void watch_for_hedge();
+    hedge_input hedge_facts() const;
+    void cancel_hedge();
+    bool is_failed_hedged_response(int status) const;
+    bool continue_with_hedge(error_kind kind, bool refused);
+    void switch_to_hedge(error_kind kind, bool refused, bool complete);
+    void record_response_head(target_state& target, const response_head& head);
     void record_completion();
     bool handle_refusal(const response_head& head);
     bool handle_vm_response(const response_head& head);
@@ -196,6 +209,8 @@
     // Counts the requests of all calls of the connection, since the response to
     // one of an earlier call may arrive during a later one.
     std::uint64_t permit_requests_ = 0;
+    // Null unless calls are hedged.
+    std::unique_ptr<hedged_attempt> hedge_;
     traffic_class class_ = traffic_class::interactive;
     worker_service_state* worker_state_ = nullptr;
     std::optional<queue_ticket> ticket_;
--- a/modules/av_proxy/proxied_call_attempt.cpp
+++ b/modules/av_proxy/proxied_call_attempt.cpp
@@ -37,6 +37,8 @@
                                 service_->spec_.retry_ratio_,
                                 head_->depth_,
                                 service_->spec_.retry_burst_);
+        worker_state_->hedges_ = after_call_begun(
+            worker_state_->hedges_, worker_.core().settings_.hedge_ratio_);
     }
     attempt_started_at_ = worker_.now();
     load_at_start_ = target_->reported_load_.load(relaxed) +
@@ -102,6 +104,21 @@
         return;
     }
     auto& connection = *connection_;
+    const auto additions = additions_for(*target_, now);
+    body_framing_ = additions.framing_;
+    spend_permits();
+    write_request_head(connection.output(),
+                       *head_,
+                       additions,
+                       worker_.core().settings_.dialect_);
+    body_sent_ = 0;
+    send_body();
+}
+
+// Returns what the request to the target has beside the caller's header fields.
+request_additions proxied_call::additions_for(const target_state& target,
+                                              milliseconds now) const
+{
     request_additions additions;
     additions.call_id_ = call_id_;
     additions.deadline_left_ = deadline_ - now;
@@ -110,7 +127,7 @@
     additions.deployment_ = worker_.core().settings_.deployment_;
     if (!to_vm_)
     {
-        additions.expected_target_ = target_->name_;
+        additions.expected_target_ = target.name_;
     }
     if (account_ != nullptr)
     {
@@ -123,14 +140,7 @@
         additions.framing_ = body_framing::length;
         additions.length_ = body_.size();
     }
-    body_framing_ = additions.framing_;
-    spend_permits();
-    write_request_head(connection.output(),
-                       *head_,
-                       additions,
-                       worker_.core().settings_.dialect_);
-    body_sent_ = 0;
-    send_body();
+    return additions;
 }
 
 void proxied_call::on_bytes_sent()
@@ -140,6 +150,10 @@
     {
         record_sent(*target_);
     }
+    if (worker_.core().settings_.hedge_ratio_ > 0.0)
+    {
+        watch_for_hedge();
+    }
 }
 
 void proxied_call::on_output_drained()
--- a/modules/av_proxy/proxied_call_end.cpp
+++ b/modules/av_proxy/proxied_call_end.cpp
@@ -33,6 +33,10 @@
 void proxied_call::end_attempt(error_kind kind, bool refused)
 {
     const auto self = link_.share_call();
+    if (continue_with_hedge(kind, refused))
+    {
+        return;
+    }
     last_failure_ = kind;
     refused_with_room_ = refused && target_has_room();
     buffered_response_.clear();
@@ -118,6 +122,7 @@
 void proxied_call::abort_connection(error_kind kind)
 {
     count(kind);
+    cancel_hedge();
     return_permit(account_permit_);
     active_ = false;
     worker_.counters().calls_.fetch_sub(1, relaxed);
@@ -347,6 +352,7 @@
 
 void proxied_call::finish(bool keep_alive)
 {
+    cancel_hedge();
     active_ = false;
     worker_.counters().calls_.fetch_sub(1, relaxed);
     worker_state_ = nullptr;
--- a/modules/av_proxy/proxied_call_response.cpp
+++ b/modules/av_proxy/proxied_call_response.cpp
@@ -5,6 +5,7 @@
 #include <av_core/log_event.hpp>
 #include <av_http/message_writer.hpp>
 #include <av_model/call_outcome.hpp>
+#include <av_proxy/target_refusal.hpp>
 #include <av_proxy/worker.hpp>
 
 #include <algorithm>
@@ -17,9 +18,6 @@
 
 constexpr int first_failed_status = 500;
 constexpr int first_error_status = 400;
-constexpr int misdirected_status = 421;
-constexpr int too_many_status = 429;
-constexpr int busy_status = 503;
 constexpr auto relaxed = std::memory_order_relaxed;
 
 } // namespace
@@ -102,27 +100,28 @@
     worker_.on_slot_freed(service);
 }
 
-void proxied_call::record_response_head(const response_head& head)
+void proxied_call::record_response_head(target_state& target,
+                                        const response_head& head)
 {
     const auto* report = head.load_ ? &*head.load_ : nullptr;
     const auto now = worker_.now();
     if (head.idle_limit_)
     {
-        target_->idle_limit_ms_.store(head.idle_limit_->count(), relaxed);
+        target.idle_limit_ms_.store(head.idle_limit_->count(), relaxed);
     }
-    if (!record_response(*target_, report, head.draining_, now))
+    if (!record_response(target, report, head.draining_, now))
     {
         return;
     }
     log_event(log_level::info, "target_draining_seen")
-        .field("target", target_->name_)
+        .field("target", target.name_)
         .write();
     const auto& core = worker_.core();
     if (core.listener_)
     {
         target_notice notice;
         notice.kind_ = target_notice_kind::draining;
-        notice.target_ = target_->name_;
+        notice.target_ = target.name_;
         notice.load_ = head.load_.value_or(load_report{});
         notice.load_.draining_ = true;
         notice.source_vm_ = core.settings_.vm_name_;
@@ -134,26 +133,14 @@
 // attempt has then ended and the call continues without this response.
 bool proxied_call::handle_refusal(const response_head& head)
 {
-    record_response_head(head);
-    if (head.status_ == misdirected_status &&
-        !worker_.core().settings_.dialect_.expected_target_.empty())
-    {
-        target_->address_taken_over_.store(true, relaxed);
-        end_attempt(error_kind::target_moved, true);
-        return true;
-    }
-    const bool has_busy_status =
-        head.status_ == busy_status || head.status_ == too_many_status;
-    if (!head.not_run_ || !has_busy_status)
+    record_response_head(*target_, head);
+    const auto refusal = refusal_of(head, worker_.core().settings_.dialect_);
+    if (!refusal)
     {
         return false;
     }
-    if (!head.draining_)
-    {
-        record_refusal(*target_, target_slots_);
-        record_result(*target_, true, worker_.now());
-    }
-    end_attempt(error_kind::target_refused, true);
+    record_refusal_by(*target_, target_slots_, head, worker_.now());
+    end_attempt(*refusal, true);
     return true;
 }
 
@@ -206,7 +193,8 @@
         end_attempt(error_kind::target_answer_malformed, false);
         return true;
     }
-    if (head.status_ < first_failed_status || !may_retry_elsewhere())
+    if (!is_failed_hedged_response(head.status_) &&
+        (head.status_ < first_failed_status || !may_retry_elsewhere()))
     {
         return false;
     }
@@ -226,6 +214,7 @@
     {
         return;
     }
+    cancel_hedge();
     lifecycle_.record_response_started();
     link_.output().append(buffered_response_);
     buffered_response_.clear();
@@ -236,6 +225,7 @@
     buffers_response_ = worker_.core().settings_.buffered_response_bytes_ > 0;
     if (!buffers_response_)
     {
+        cancel_hedge();
         lifecycle_.record_response_started();
     }
     // The outcomes of another VM's responses are those of targets, not of that
--- a/modules/av_proxy/request_path.cpp
+++ b/modules/av_proxy/request_path.cpp
@@ -86,6 +86,9 @@
     sum.unknown_ += part.unknown_.load(relaxed);
     sum.forwarded_ += part.forwarded_.load(relaxed);
     sum.extra_attempts_ += part.extra_attempts_.load(relaxed);
+    sum.hedges_sent_ += part.hedges_sent_.load(relaxed);
+    sum.hedges_won_ += part.hedges_won_.load(relaxed);
+    sum.hedges_suppressed_ += part.hedges_suppressed_.load(relaxed);
     sum.calls_in_flight_ += part.calls_.load(relaxed);
     sum.caller_connections_ += part.connections_.load(relaxed);
     for (std::size_t kind = 0; kind < error_kind_count; ++kind)
--- a/modules/av_proxy/request_path_settings.hpp
+++ b/modules/av_proxy/request_path_settings.hpp
@@ -57,6 +57,9 @@
     // For the permit client of each thread; no grantors if there are no such
     // limits. Not part of the comparison.
     permit_client_options permits_;
+    // Second sends (hedges) of idempotent calls, as a fraction of the calls of
+    // a service; zero if calls are not hedged.
+    double hedge_ratio_ = 0.0;
     // The region of each failure domain, for calls that are restricted to
     // regions. A failure domain that is missing belongs to none.
     std::map<std::string, std::string> regions_{};
@@ -79,6 +82,7 @@
                         idle_timeout_,
                         connect_timeout_,
                         limit_bounds_,
+                        hedge_ratio_,
                         regions_);
     }
 };
--- a/modules/av_proxy/request_path_statistics.hpp
+++ b/modules/av_proxy/request_path_statistics.hpp
@@ -101,6 +101,11 @@
     std::uint64_t forwarded_ = 0;
     // Attempts after the first one of each call.
     std::uint64_t extra_attempts_ = 0;
+    // Second sends of calls that were running, those that responded before the
+    // first attempt, and calls for which a budget prevented one.
+    std::uint64_t hedges_sent_ = 0;
+    std::uint64_t hedges_won_ = 0;
+    std::uint64_t hedges_suppressed_ = 0;
     // Calls that did not end with the outcome answered, by reason.
     std::map<error_kind, std::uint64_t> reasons_;
     int calls_in_flight_ = 0;
@@ -119,6 +124,9 @@
                         unknown_,
                         forwarded_,
                         extra_attempts_,
+                        hedges_sent_,
+                        hedges_won_,
+                        hedges_suppressed_,
                         reasons_,
                         calls_in_flight_,
                         caller_connections_,
--- a/modules/av_proxy/target_connection.cpp
+++ b/modules/av_proxy/target_connection.cpp
@@ -85,6 +85,11 @@
     connect();
 }
 
+void target_connection::set_observer(attempt_observer& observer)
+{
+    observer_ = &observer;
+}
+
 std::string& target_connection::output()
 {
     return output_.bytes();
--- a/modules/av_proxy/target_connection.hpp
+++ b/modules/av_proxy/target_connection.hpp
@@ -55,6 +55,9 @@
                bool is_head_request,
                std::string_view call_id);
 
+    // Passes the attempt on to another observer, which gets its further events.
+    void set_observer(attempt_observer& observer);
+
     // Buffer to which the request is appended; flush sends it.
     std::string& output();
     void flush();
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -7,6 +7,7 @@
 #include <av_grants/permit_client.hpp>
 #include <av_limits/call_queue.hpp>
 #include <av_limits/drain_rate.hpp>
+#include <av_limits/hedging.hpp>
 #include <av_limits/load_profile.hpp>
 #include <av_limits/retry_budget.hpp>
 #include <av_limits/start_schedule.hpp>
@@ -64,6 +65,7 @@
     std::shared_ptr<service_state> state_;
     call_queue<std::shared_ptr<proxied_call>> queue_;
     retry_budget budget_;
+    hedge_budget hedges_;
     std::array<drain_rate, traffic_class_count> rates_;
     // How long calls take at targets of each load.
     load_profile profile_;
@@ -82,6 +84,15 @@
     bool requests_cold_permit_ = false;
 };
 
+// A target to which a call may be hedged, and the number of calls that this VM
+// may have in flight there.
+struct hedge_candidate
+{
+    const target_entry* entry_ = nullptr;
+    hedge_target seen_;
+    int local_limit_ = 0;
+};
+
 // One thread of the request path with its connections and queues. All members
 // are for this thread only, except where stated otherwise.
 class worker
@@ -150,6 +161,13 @@
     // Removes the call from its queue, if it is queued.
     void withdraw(proxied_call& call, worker_service_state& worker_state);
 
+    // Returns the target that the running call would best be hedged to; none if
+    // there is no other one with room by what is known.
+    hedge_candidate find_hedge_target(const proxied_call& call);
+
+    // Sends a load query to the target, for a call that may be hedged to it.
+    void query_load(const service_entry& service, const target_entry& target);
+
     // Keeps a call pending until this VM has its configuration (rules and
     // targets).
     void await_configuration(std::shared_ptr<proxied_call> call);
@@ -162,6 +180,10 @@
     // dispatched first, then those of other threads.
     void on_slot_freed(const std::shared_ptr<service_state>& service);
 
+    // Calls on_slot_freed from the event loop, for callers that are within the
+    // events of a call.
+    void post_slot_freed(const std::shared_ptr<service_state>& service);
+
     // Returns the estimate of how long calls of the rule take at a target,
     // which lasts as long as the rule or a call of it. Never null.
     std::shared_ptr<work_estimate> work_of(const rule_spec& rule);
--- a/modules/av_settings/settings_fields.cpp
+++ b/modules/av_settings/settings_fields.cpp
@@ -279,6 +279,12 @@
                      1000.0,
                      "extra attempts that one VM may make in a burst; for all "
                      "VMs together, multiplied by their number"),
+        number_field("hedge_ratio",
+                     &section::hedge_ratio_,
+                     0.0,
+                     1.0,
+                     "second sends of running idempotent calls allowed, as a "
+                     "fraction of the calls of a service; 0 disables them"),
         integer_field(
             "queue_limit",
             &section::queue_limit_,
--- a/modules/av_settings/settings_sections.hpp
+++ b/modules/av_settings/settings_sections.hpp
@@ -111,6 +111,8 @@
     double fleet_retry_ratio_ = 0.0;
     // Maximum number of extra attempts of one VM in a burst.
     double retry_burst_ = 1.5;
+    // Allowed ratio of hedges to the calls of a service; zero disables them.
+    double hedge_ratio_ = 0.0;
     // Calls that may be queued at one VM.
     int queue_limit_ = 512;
     // Consecutive failures after which a target is ejected.
@@ -123,6 +125,7 @@
                         retry_ratio_,
                         fleet_retry_ratio_,
                         retry_burst_,
+                        hedge_ratio_,
                         queue_limit_,
                         ejecting_failures_);
     }
