--- a/modules/av_proxy/proxied_call_hedge.cpp
+++ b/modules/av_proxy/proxied_call_hedge.cpp
@@ -35,8 +35,10 @@
     input.replayable_ = request_complete_ && !body_dropped_;
     input.depth_ = head_->depth_;
     input.possible_runs_ = possible_runs_ + 1;
-    input.max_attempts_ = std::min(
-        max_attempts_, max_total_attempts - attempts_ + possible_runs_ + 1);
+    const int attempts_left =
+        max_total_attempts - (attempts_ - withdrawn_attempts_);
+    input.max_attempts_ =
+        std::min(max_attempts_, input.possible_runs_ + attempts_left);
     input.slowdown_at_start_ = slowdown_at_start_;
     input.started_at_ = attempt_started_at_;
     input.deadline_ = deadline_;
@@ -90,7 +92,7 @@
     const auto self = link_.share_call();
     const auto service = service_->state_;
     possible_runs_ += refused ? 0 : 1;
-    log_attempt_end(kind, refused);
+    log_attempt_end(describe(kind).name_, refused);
     release_attempt_permits(refused);
     return_permit(account_permit_);
     release_connection(kind, refused);
