Wait longer for the last grantor that can be asked

The query to the last grantor that can be asked for permits of an account now has 250 ms, which delays a call by 370 ms at most. Those for cold targets keep 60 ms: their leases are 100 ms. the_last_grantor_is_waited_for_longer guards it.

--- a/modules/av_grants/grantor_pool.cpp
+++ b/modules/av_grants/grantor_pool.cpp
@@ -16,8 +16,6 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-// Time after which the next grantor is asked.
-constexpr milliseconds response_timeout{60.0};
 // A connection that was idle for longer is not used again: the grantor closes
 // it after 60 s, and a query sent at that moment would be lost.
 constexpr milliseconds max_idle_time{30000.0};
@@ -211,36 +209,35 @@
 
 void grantor_pool::schedule_timeout(milliseconds now)
 {
-    if (is_timer_set_ || is_stopped_)
+    if (is_stopped_)
     {
         return;
     }
-    std::optional<milliseconds> sent_first;
+    std::optional<milliseconds> next;
     for (const auto& grantor : members_)
     {
-        for (const auto& query : grantor.queries_)
+        for (const auto& [id, query] : grantor.queries_)
         {
-            if (!query.second.timed_out_)
+            if (!query.timed_out_)
             {
-                const auto sent_at = query.second.sent_at_;
-                sent_first = std::min(sent_first.value_or(sent_at), sent_at);
-                break;
+                const auto due_at = query.sent_at_ + query.timeout_;
+                next = std::min(next.value_or(due_at), due_at);
             }
         }
     }
-    if (!sent_first)
+    if (!next || (timer_due_at_ && *timer_due_at_ <= *next))
     {
         return;
     }
-    is_timer_set_ = true;
-    timer_.expires_after(to_duration(*sent_first + response_timeout - now));
+    timer_due_at_ = next;
+    timer_.expires_after(to_duration(*next - now));
     timer_.async_wait(
         [weak = weak_from_this()](const error_code& error)
         {
             const auto self = weak.lock();
             if (self && !error && !self->is_stopped_)
             {
-                self->is_timer_set_ = false;
+                self->timer_due_at_.reset();
                 self->on_timer();
             }
         });
@@ -255,7 +252,7 @@
     {
         for (auto& [id, query] : grantor.queries_)
         {
-            if (!query.timed_out_ && query.sent_at_ + response_timeout <= now)
+            if (!query.timed_out_ && query.sent_at_ + query.timeout_ <= now)
             {
                 query.timed_out_ = true;
                 fail(grantor, query, "no response in time", now);
--- a/modules/av_grants/grantor_pool.hpp
+++ b/modules/av_grants/grantor_pool.hpp
@@ -93,7 +93,7 @@
     const std::shared_ptr<permit_counters> counters_;
     const grantor_pool_handlers handlers_;
     boost::asio::steady_timer timer_;
-    bool is_timer_set_ = false;
+    std::optional<milliseconds> timer_due_at_;
     bool is_stopped_ = false;
     std::vector<member> members_;
     std::uint64_t last_query_id_ = 0;
--- a/modules/av_grants/permit_client.cpp
+++ b/modules/av_grants/permit_client.cpp
@@ -298,12 +298,38 @@
         }
     }
 
+    // Returns whether another grantor can be asked for permits of an account if
+    // the one that is asked now doesn't respond. The permits of cold targets
+    // have leases too short for a longer wait.
+    bool has_next(const client_limit& limit, milliseconds now) const
+    {
+        if (limit.key_.kind_ != limit_kind::account)
+        {
+            return true;
+        }
+        return std::any_of(limit.order_.begin() +
+                               static_cast<std::ptrdiff_t>(limit.position_),
+                           limit.order_.end(),
+                           [&](std::size_t index)
+                           {
+                               return !pool_->is_skipped(index, now) &&
+                                      limit.refusals_[index].until_ <= now;
+                           });
+    }
+
     void send_query(std::size_t index,
                     const std::vector<std::shared_ptr<client_limit>>& limits,
                     milliseconds now)
     {
         open_query query;
         query.sent_at_ = now;
+        const bool is_last = std::none_of(limits.begin(),
+                                          limits.end(),
+                                          [this, now](const auto& limit)
+                                          {
+                                              return has_next(*limit, now);
+                                          });
+        query.timeout_ = is_last ? last_response_timeout : response_timeout;
         for (const auto& limit : limits)
         {
             const int waiting = static_cast<int>(limit->waiting_.size());
@@ -375,7 +401,7 @@
         {
             // As if the grantor had not responded in time: it would be as late
             // again, and says nothing about the limit.
-            limit->missed_grantor_ = true;
+            ++limit->missed_grantors_;
             ask_next(limit, now);
             return;
         }
--- a/modules/av_grants/permit_client_state.hpp
+++ b/modules/av_grants/permit_client_state.hpp
@@ -22,6 +22,12 @@
 // which one that was restarted must be in use again.
 constexpr milliseconds unreachable_retry_interval{500.0};
 
+// Time after which the next grantor is asked.
+constexpr milliseconds response_timeout{60.0};
+// The same if no other one is left: to the caller a late permit is worth more
+// than a refusal, which a busy machine would cause otherwise.
+constexpr milliseconds last_response_timeout{250.0};
+
 using permit_callback = std::function<void(permit_answer)>;
 
 // A callback and what it is called with.
@@ -88,6 +94,8 @@
     };
 
     milliseconds sent_at_;
+    // Time after which the grantor counts as unreachable.
+    milliseconds timeout_ = response_timeout;
     std::vector<request> requests_;
     // Whether the other grantors have been asked since. The permits of a late
     // reply are still used.
--- a/modules/av_grants/tests/grantor_failure_test.cpp
+++ b/modules/av_grants/tests/grantor_failure_test.cpp
@@ -86,6 +86,36 @@
     }
 }
 
+// On a busy machine grantors respond late. A call that could still be served
+// must not be refused because the last of them did.
+BOOST_AUTO_TEST_CASE(the_last_grantor_is_waited_for_longer)
+{
+    scripted_grantor silent(context_, no_reply);
+    scripted_grantor slow(context_, no_reply);
+    start_client({silent.address(), slow.address()});
+    std::optional<permit_answer> answer;
+    client_->acquire(school,
+                     [&answer](const permit_answer& value)
+                     {
+                         answer = value;
+                     });
+    BOOST_REQUIRE(run_until(
+        [&]
+        {
+            return !silent.queries().empty() && !slow.queries().empty();
+        }));
+    run_for(milliseconds(100.0));
+    BOOST_TEST(!answer.has_value());
+    slow.send(grant_each(slow.queries().front(),
+                         {1, milliseconds(5000.0), milliseconds(0.0)}));
+    BOOST_REQUIRE(run_until(
+        [&answer]
+        {
+            return answer.has_value();
+        }));
+    BOOST_TEST(is_granted(*answer));
+}
+
 // The permits of a lost answer are spent at the grantor. The VM must not count
 // them as its own, and must not wait for them.
 BOOST_AUTO_TEST_CASE(after_a_lost_answer_the_next_grantor_is_asked)
