--- a/modules/av_proxy/routing_table.cpp
+++ b/modules/av_proxy/routing_table.cpp
@@ -46,7 +46,10 @@
     {
         // The time counts from when the entry arrived, so an entry that is the
         // same in a new table says nothing new.
-        if (limits_cold_targets && known->spec_.cold_for_ != spec.cold_for_)
+        const bool is_same_entry =
+            known->spec_.cold_for_ == spec.cold_for_ &&
+            known->spec_.cold_revision_ == spec.cold_revision_;
+        if (limits_cold_targets && !is_same_entry)
         {
             record_coldness(*known->state_,
                             spec.cold_for_,
