--- a/modules/av_grants/tests/grantor_failure_test.cpp
+++ b/modules/av_grants/tests/grantor_failure_test.cpp
@@ -131,7 +131,21 @@
     // Not 429, since nothing says that the limit is reached.
     BOOST_TEST((answer->result_ == permit_result::unavailable));
     BOOST_TEST(late.queries().size() == 1U);
-    // Another one is asked instead, with the reserve if it has nothing else.
+    // Another one is asked instead, with its reserve if it has nothing else.
+    scripted_grantor refusing(
+        context_,
+        [](const permit_query& query)
+        {
+            return grant_each(query,
+                              {0, milliseconds(0.0), milliseconds(1000.0)});
+        });
+    start_client({late.address(), refusing.address()});
+    for (int i = 0; i < 5; ++i)
+    {
+        (void)acquire({limit_kind::account, std::to_string(i)});
+        BOOST_TEST_REQUIRE(!refusing.queries().empty());
+        BOOST_TEST(refusing.queries().back().requests_.back().may_use_reserve_);
+    }
     start_client({late.address(), add_server(always(ample_limit()))});
     for (int i = 0; i < 5; ++i)
     {
