Test that a hedged call which fails twice gets no third attempt

With the retry budget spent by the hedge, the test passed also if the hedge did not count as an attempt that may have run. The budget allows a retry there now.

--- a/modules/av_proxy/tests/hedging_test.cpp
+++ b/modules/av_proxy/tests/hedging_test.cpp
@@ -158,7 +158,12 @@
             return first_fails_first ? std::make_pair(a, b)
                                      : std::make_pair(b, a);
         };
-        hedging_world closing;
+        // The retry budget would allow a third attempt.
+        hedging_world closing(
+            [](release& value)
+            {
+                value.services_["kits"].retry_burst_ = 3.0;
+            });
         closing.start_hedged_call();
         in_order(closing).first->close();
         std::this_thread::sleep_for(usual_time);
