--- a/modules/av_grants/permit_client.cpp
+++ b/modules/av_grants/permit_client.cpp
@@ -420,18 +420,7 @@
 
     void call(const due_answer& due)
     {
-        switch (due.answer_.result_)
-        {
-        case permit_result::granted:
-            ++counters_->granted_;
-            break;
-        case permit_result::over_limit:
-            ++counters_->over_limit_;
-            break;
-        case permit_result::unavailable:
-            ++counters_->unavailable_;
-            break;
-        }
+        count_answer(*counters_, due.answer_.result_);
         due.done_(due.answer_);
     }
 
--- a/modules/av_grants/permit_client_state.hpp
+++ b/modules/av_grants/permit_client_state.hpp
@@ -3,6 +3,7 @@
 
 #include <av_core/milliseconds.hpp>
 #include <av_grants/permit_client.hpp>
+#include <av_grants/permit_counters.hpp>
 #include <av_quota/limit_key.hpp>
 #include <av_quota/permit_stock.hpp>
 
@@ -40,6 +41,22 @@
     return answer;
 }
 
+inline void count_answer(permit_counters& counters, permit_result result)
+{
+    switch (result)
+    {
+    case permit_result::granted:
+        ++counters.granted_;
+        break;
+    case permit_result::over_limit:
+        ++counters.over_limit_;
+        break;
+    case permit_result::unavailable:
+        ++counters.unavailable_;
+        break;
+    }
+}
+
 // What one grantor responded about one limit.
 struct grantor_refusal
 {
