--- a/benches/policy_bench/dispatcher.hpp
+++ b/benches/policy_bench/dispatcher.hpp
@@ -3,7 +3,6 @@
 
 #include <av_limits/call_queue.hpp>
 #include <av_limits/drain_rate.hpp>
-#include <av_limits/hedging.hpp>
 #include <av_limits/latency_quantile.hpp>
 #include <av_limits/retry_budget.hpp>
 #include <av_limits/start_schedule.hpp>
--- a/benches/policy_bench/scheme.hpp
+++ b/benches/policy_bench/scheme.hpp
@@ -38,8 +38,8 @@
     // targets of their local failure domains; zero for never.
     double dispatcher_share_interval_ms_ = 0.0;
     bool ejects_outliers_ = true;
-    // Whether slow calls are hedged with a second attempt. The model treats all
-    // calls as idempotent.
+    // Whether calls are hedged after p95 of the latency, as an alternative to
+    // av_limits/hedging. The model treats all calls as idempotent.
     bool hedges_ = false;
 };
 
--- a/benches/policy_bench/service_simulation.hpp
+++ b/benches/policy_bench/service_simulation.hpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -179,7 +180,10 @@
 
     void send(int call_number, int target);
 
-    hedge_input hedge_input_for(const call_attempt& current_attempt);
+    // Returns how long to wait before a second attempt; nothing if too little
+    // time is known or left.
+    std::optional<milliseconds>
+    hedge_delay(const call_attempt& current_attempt);
 
     void schedule_hedge(int call_number);
 
--- a/benches/policy_bench/service_simulation_events.cpp
+++ b/benches/policy_bench/service_simulation_events.cpp
@@ -72,17 +72,14 @@
     return now_ms_ > settings_.seconds_ * ms_per_second;
 }
 
-hedge_input
-service_simulation::hedge_input_for(const call_attempt& current_attempt)
+std::optional<milliseconds>
+service_simulation::hedge_delay(const call_attempt& current_attempt)
 {
-    hedge_input input;
-    input.idempotent_ = true;
-    input.p95_latency_ = dispatcher_of(current_attempt).p95_.value_;
-    input.time_left_ = milliseconds(current_attempt.arrival_ms_ +
-                                    settings_.deadline_ms_ - now_ms_);
-    input.waiting_calls_ =
-        static_cast<int>(dispatcher_of(current_attempt).queue_.size());
-    return input;
+    const auto p95 = dispatcher_of(current_attempt).p95_.value_;
+    const milliseconds time_left(current_attempt.arrival_ms_ +
+                                 settings_.deadline_ms_ - now_ms_);
+    const bool leaves_time = p95.count() > 0.0 && time_left > p95 * 2.0;
+    return leaves_time ? std::optional(p95) : std::nullopt;
 }
 
 void service_simulation::schedule_hedge(int call_number)
@@ -91,7 +88,7 @@
     const auto& current_attempt = call(call_number);
     auto& budget = dispatcher_of(current_attempt).retry_budget_;
     budget = after_first_attempt(budget, retry_ratio, 0);
-    if (const auto delay = hedge_delay(hedge_input_for(current_attempt)))
+    if (const auto delay = hedge_delay(current_attempt))
     {
         add_event(now_ms_ + delay->count(), event_kind::hedge_due, call_number);
     }
@@ -103,7 +100,8 @@
     auto& current_dispatcher = dispatcher_of(first);
     const bool may_hedge =
         !first.is_answered_ && first.dispatcher_ != failed_vm_ &&
-        may_hedge_now(hedge_input_for(first), current_dispatcher.retry_budget_);
+        current_dispatcher.queue_.empty() &&
+        allows_extra_attempt(current_dispatcher.retry_budget_);
     const auto target = may_hedge
                             ? current_dispatcher.choose(now_ms_, first.target_)
                             : std::nullopt;
