Give each permit query its own time limit, and answer all calls

Found by reading: a pool took a grantor as without pending query if its newest query had timed out. Since the last grantor has 250 ms and others 60 ms, an older query could be dropped with its connection, and all calls of its limits then waited without end (queries_with_different_time_limits_all_end, with a pause of 600 ms, fails without the change). Accounts and limits of one turn that have another grantor to ask are now in a query of their own, so they don't shorten the time of the others; a grantor is not the last one if the reserve of others is asked for next. permit_round_test checks these decisions and those of a round without a network.

--- a/modules/av_grants/grantor_pool.cpp
+++ b/modules/av_grants/grantor_pool.cpp
@@ -106,8 +106,12 @@
 // Returns whether there is a query that may still be replied to in time.
 bool grantor_pool::has_pending_query(const member& grantor)
 {
-    return !grantor.queries_.empty() &&
-           !grantor.queries_.rbegin()->second.timed_out_;
+    return std::any_of(grantor.queries_.begin(),
+                       grantor.queries_.end(),
+                       [](const auto& entry)
+                       {
+                           return !entry.second.timed_out_;
+                       });
 }
 
 void grantor_pool::connect_if_needed(std::size_t index, milliseconds now)
--- a/modules/av_grants/permit_client.cpp
+++ b/modules/av_grants/permit_client.cpp
@@ -225,7 +225,7 @@
         const auto now = monotonic_now();
         for (std::size_t index = 0; index < unsent_.size(); ++index)
         {
-            const auto limits = std::exchange(unsent_[index], {});
+            auto limits = std::exchange(unsent_[index], {});
             if (limits.empty())
             {
                 continue;
@@ -236,17 +236,28 @@
                 pass_on(limits, now);
                 continue;
             }
-            for (std::size_t first = 0; first < limits.size();
-                 first += max_requests_per_query)
-            {
-                const auto last =
-                    std::min(first + max_requests_per_query, limits.size());
-                send_query(index,
-                           {limits.begin() + static_cast<std::ptrdiff_t>(first),
-                            limits.begin() + static_cast<std::ptrdiff_t>(last)},
-                           now);
-            }
+            const auto last = std::stable_partition(
+                limits.begin(),
+                limits.end(),
+                [this, now](const auto& limit)
+                {
+                    return has_next_grantor(*limit, skipped(now), now);
+                });
+            send_queries(index, {limits.begin(), last}, response_timeout, now);
+            send_queries(
+                index, {last, limits.end()}, last_response_timeout, now);
+        }
+    }
+
+    // Returns by index which grantors are not asked now.
+    std::vector<bool> skipped(milliseconds now) const
+    {
+        std::vector<bool> result(options_.grantors_.size());
+        for (std::size_t index = 0; index < result.size(); ++index)
+        {
+            result[index] = pool_->is_skipped(index, now);
         }
+        return result;
     }
 
     // Asks the grantors that follow one which did not respond.
@@ -260,38 +271,32 @@
         }
     }
 
-    // Returns whether another grantor can be asked for permits of an account if
-    // the one that is asked now doesn't respond. The permits of cold targets
-    // have leases too short for a longer wait.
-    bool has_next(const client_limit& limit, milliseconds now) const
+    void send_queries(std::size_t index,
+                      const std::vector<std::shared_ptr<client_limit>>& limits,
+                      milliseconds timeout,
+                      milliseconds now)
     {
-        if (limit.key_.kind_ != limit_kind::account)
+        for (std::size_t first = 0; first < limits.size();
+             first += max_requests_per_query)
         {
-            return true;
+            const auto last =
+                std::min(first + max_requests_per_query, limits.size());
+            send_query(index,
+                       {limits.begin() + static_cast<std::ptrdiff_t>(first),
+                        limits.begin() + static_cast<std::ptrdiff_t>(last)},
+                       timeout,
+                       now);
         }
-        return std::any_of(limit.order_.begin() +
-                               static_cast<std::ptrdiff_t>(limit.position_),
-                           limit.order_.end(),
-                           [&](std::size_t index)
-                           {
-                               return !pool_->is_skipped(index, now) &&
-                                      limit.refusals_[index].until_ <= now;
-                           });
     }
 
     void send_query(std::size_t index,
                     const std::vector<std::shared_ptr<client_limit>>& limits,
+                    milliseconds timeout,
                     milliseconds now)
     {
         open_query query;
         query.sent_at_ = now;
-        const bool is_last = std::none_of(limits.begin(),
-                                          limits.end(),
-                                          [this, now](const auto& limit)
-                                          {
-                                              return has_next(*limit, now);
-                                          });
-        query.timeout_ = is_last ? last_response_timeout : response_timeout;
+        query.timeout_ = timeout;
         for (const auto& limit : limits)
         {
             const int waiting = static_cast<int>(limit->waiting_.size());
@@ -361,8 +366,9 @@
         }
         if (has_expired)
         {
-            // As if the grantor had not responded in time: it would be as late
-            // again, and says nothing about the limit.
+            // The lease ended on the way. Counts as no response, since the
+            // grantor said nothing about the limit and a repeated query would
+            // be as late.
             ++limit->missed_grantors_;
             ask_next(limit, now);
             return;
--- a/modules/av_grants/permit_round.cpp
+++ b/modules/av_grants/permit_round.cpp
@@ -31,6 +31,26 @@
            !limit.is_reserve_round_;
 }
 
+bool has_next_grantor(const client_limit& limit,
+                      const std::vector<bool>& skipped,
+                      milliseconds now)
+{
+    const bool opens_reserve =
+        limit.refused_without_reserve_ && !limit.is_reserve_round_;
+    if (limit.key_.kind_ != limit_kind::account || opens_reserve)
+    {
+        return true;
+    }
+    return std::any_of(
+        limit.order_.begin() + static_cast<std::ptrdiff_t>(limit.position_),
+        limit.order_.end(),
+        [&](std::size_t index)
+        {
+            return !skipped[index] && (limit.is_reserve_round_ ||
+                                       limit.refusals_[index].until_ <= now);
+        });
+}
+
 void begin_reserve_round(client_limit& limit)
 {
     ask_from_first(limit);
--- a/modules/av_grants/permit_round.hpp
+++ b/modules/av_grants/permit_round.hpp
@@ -4,6 +4,8 @@
 #include <av_core/milliseconds.hpp>
 #include <av_grants/permit_client_state.hpp>
 
+#include <vector>
+
 namespace anvilturn
 {
 
@@ -19,6 +21,14 @@
 // of them were asked.
 bool has_reserve(const client_limit& limit);
 
+// Returns whether another grantor is asked for permits of an account if the one
+// that is asked now doesn't respond. Always for cold targets, whose leases are
+// too short for a longer wait. The grantors that are skipped are given by
+// index.
+bool has_next_grantor(const client_limit& limit,
+                      const std::vector<bool>& skipped,
+                      milliseconds now);
+
 // Asks the grantors once more, for their reserve.
 void begin_reserve_round(client_limit& limit);
 
