Allow for a heartbeat where a watcher relays another one's contact

Found by reading: a relayed age is older by up to a heartbeat interval than the age that the relaying watcher accepts, so at 650 to 1,000 ms its subscribers left it although it still had a source, and standbys began and ended takeovers. The judgement of a watcher subtracts the interval; the age that is passed on is unchanged. The test of a VM that keeps its watcher now has such an age, and the test against circles a watcher that follows another one.

The publisher names new standbys after a broadcast that has ended a session: within it, the message with the standbys went to other subscribers before that of the broadcast, whose changes they then missed. Not covered by a test.

--- a/modules/av_feed/store_fallback.cpp
+++ b/modules/av_feed/store_fallback.cpp
@@ -72,8 +72,8 @@
         .write();
     if (is_standby)
     {
-        // It goes on when it is no standby any more, since it may have
-        // subscribers still.
+        // Publishing continues after this VM stops being a standby, since
+        // subscribers may remain.
         replica_.start_publishing();
     }
 }
--- a/modules/av_feed/tests/registry_control_test.cpp
+++ b/modules/av_feed/tests/registry_control_test.cpp
@@ -456,6 +456,15 @@
         {
             return vm.control_->state().version_ == 4U;
         });
+    // The age at the other watcher, and the time until its next heartbeat.
+    vm.local_watcher_.relayed_response_age_ =
+        max_store_response_age + replication_heartbeat_interval * 0.5;
+    vm.local_watcher_.publish(5, {"x"}, 12);
+    vm.run_until(
+        [&]
+        {
+            return vm.control_->state().version_ == 5U;
+        });
     BOOST_TEST((vm.local_watcher_.store_response_age_ == stale_response_age));
 }
 
@@ -466,6 +475,8 @@
     subscribed_vm vm(no_expiry, "127.0.30.13:28714", true);
     vm.run_until_the_store_is_watched();
     vm.remote_watcher_.store_response_age_ = stale_response_age;
+    // Not even if it follows a third one.
+    vm.remote_watcher_.relayed_response_age_ = recent_response_age;
     vm.remote_watcher_.publish(4, {"x"}, 1000);
     vm.store_.down_ = true;
     const int checks = vm.store_.checks_;
--- a/modules/av_feed/watcher_subscription.cpp
+++ b/modules/av_feed/watcher_subscription.cpp
@@ -17,6 +17,19 @@
 constexpr milliseconds watcher_search_interval{500.0};
 constexpr milliseconds watcher_search_interval_at_startup{50.0};
 
+// Returns the age of the store's last response by which a watcher is judged.
+// One that is relayed is older by up to a heartbeat interval than the watcher
+// that got it has reported; without this allowance subscribers would leave a
+// watcher that still follows another one.
+milliseconds contact_age(const registry_update& update)
+{
+    const auto age = age_for_subscribers(update);
+    const bool is_relayed = age < update.store_response_age_;
+    return is_relayed ? std::max(milliseconds(0.0),
+                                 age - replication_heartbeat_interval)
+                      : age;
+}
+
 } // namespace
 
 watcher_subscription::watcher_subscription(boost::asio::io_context& context,
@@ -159,8 +172,8 @@
     }
     auto& watcher = watchers_[*watcher_];
     const auto now = monotonic_now();
-    const auto response_age = age_for_subscribers(update);
-    const bool store_reachable = response_age <= max_store_response_age;
+    const auto age = contact_age(update);
+    const bool store_reachable = age <= max_store_response_age;
     watcher.failure_domain_ = update.failure_domain_;
     record_watcher_status(watcher, store_reachable, is_status_query_, now);
     if (is_status_query_)
@@ -168,7 +181,7 @@
         end_cause_ = end_cause::abandoned;
         return false;
     }
-    fallback_.prepare_takeover(response_age);
+    fallback_.prepare_takeover(age);
     if (!store_reachable)
     {
         return handle_unreachable_store(update, now);
@@ -177,7 +190,7 @@
     {
         return false;
     }
-    apply(update, response_age, now);
+    apply(update, age_for_subscribers(update), now);
     begin_receiving(update);
     return true;
 }
--- a/modules/av_replication/registry_publisher.cpp
+++ b/modules/av_replication/registry_publisher.cpp
@@ -163,10 +163,21 @@
     {
         const bool was_standby =
             absl::c_linear_search(standbys_, session->peer_address());
-        if (sessions_.erase(session) != 0 && was_standby)
+        if (sessions_.erase(session) == 0 || !was_standby)
         {
-            appoint_standbys();
+            return;
         }
+        // The session may have ended during a broadcast. The message that names
+        // the standbys must not overtake that one at other subscribers, which
+        // would miss its changes.
+        asio::post(context_,
+                   [weak = weak_from_this()]
+                   {
+                       if (const auto self = weak.lock())
+                       {
+                           self->appoint_standbys();
+                       }
+                   });
     }
 
     void appoint_missing_standbys()
--- a/modules/av_replication/registry_update.hpp
+++ b/modules/av_replication/registry_update.hpp
@@ -67,7 +67,8 @@
     std::optional<std::set<std::string>> evacuated_domains_;
 };
 
-// Returns how old the store's contents at the watcher were for its subscribers.
+// Returns the response age on which subscribers rely: the relayed one if the
+// watcher reports it, otherwise the watcher's own.
 inline milliseconds age_for_subscribers(const registry_update& update)
 {
     return update.relayed_response_age_.value_or(update.store_response_age_);
