Bound the work and the connect time of hedges

The end of a cancelled hedge is logged. av_proxy passes in the release build; the new paths have no test of their own.

--- a/modules/av_daemon/metrics_page.cpp
+++ b/modules/av_daemon/metrics_page.cpp
@@ -97,7 +97,7 @@
                  {},
                  requests.hedges_won_);
     list.counter("hedges_suppressed_total",
-                 "Calls that a budget kept from being hedged.",
+                 "Calls that were not hedged while a budget was spent.",
                  {},
                  requests.hedges_suppressed_);
     list.counter("probes_total",
--- a/modules/av_model/target_spec.hpp
+++ b/modules/av_model/target_spec.hpp
@@ -34,8 +34,9 @@
     // How much longer the target is cold, as of when it last registered; zero
     // if it is warm.
     milliseconds cold_for_{0.0};
-    // Revision of the store at which a cold target last registered, zero if it
-    // is warm: its time counts anew from a later one, also if it is the same.
+    // Store revision of the last registration of a cold target; zero if it is
+    // warm. A new revision restarts the cold time, also if cold_for_ is
+    // unchanged.
     std::uint64_t cold_revision_ = 0;
 
     // Returns all members, for comparison.
--- a/modules/av_proxy/hedged_attempt.cpp
+++ b/modules/av_proxy/hedged_attempt.cpp
@@ -22,7 +22,9 @@
 // Covers the round trip of a load query, whose response is recent at the next
 // decision.
 constexpr milliseconds check_interval{5.0};
-// Load queries for one call, each to one target.
+// Budgets fill slowly, compared with a round trip.
+constexpr milliseconds budget_check_interval{25.0};
+// Load queries for one attempt, each to one target.
 constexpr int max_queries = 3;
 constexpr int first_error_status = 400;
 constexpr auto relaxed = std::memory_order_relaxed;
@@ -53,11 +55,6 @@
     return state_.connection_ != nullptr;
 }
 
-bool hedged_attempt::was_sent() const
-{
-    return was_sent_;
-}
-
 std::size_t hedged_attempt::buffered_bytes() const
 {
     return state_.body_.size();
@@ -81,10 +78,11 @@
 {
     ++generation_;
     timer_.cancel();
-    return_permit();
+    call_.return_permit(state_.account_permit_);
     if (const auto connection = std::exchange(state_.connection_, nullptr))
     {
         connection->abandon();
+        log_end(error_kind::call_cancelled, false);
         release(false);
     }
 }
@@ -92,14 +90,12 @@
 void hedged_attempt::reset()
 {
     used_ = false;
-    was_sent_ = false;
     suppressed_ = false;
 }
 
 hedge_state hedged_attempt::hand_over()
 {
     ++generation_;
-    was_sent_ = true;
     return std::exchange(state_, {});
 }
 
@@ -127,8 +123,20 @@
     {
         return;
     }
-    const auto candidate = worker_.find_hedge_target(call_);
-    switch (decide_hedge(input_of(candidate, now), now))
+    auto input = current_input(now);
+    auto action = decide_hedge(input, now);
+    // Only a call that could be hedged is worth a look at all targets.
+    hedge_candidate candidate;
+    if (action == hedge_action::wait && input.waiting_calls_ == 0)
+    {
+        candidate = worker_.find_hedge_target(call_);
+    }
+    if (candidate.entry_ != nullptr)
+    {
+        input.better_ = candidate.seen_;
+        action = decide_hedge(input, now);
+    }
+    switch (action)
     {
     case hedge_action::send:
         start(candidate, now);
@@ -137,11 +145,12 @@
         request_permit();
         return;
     case hedge_action::never:
-        return_permit();
+        call_.return_permit(state_.account_permit_);
         return;
     case hedge_action::budget_spent:
         count_suppressed();
-        break;
+        check_later(now + budget_check_interval);
+        return;
     case hedge_action::wait:
         query_load(candidate);
         break;
@@ -149,17 +158,13 @@
     check_later(now + check_interval);
 }
 
-hedge_input hedged_attempt::input_of(const hedge_candidate& candidate,
-                                     milliseconds now) const
+// Returns the input of the decision, without a better target.
+hedge_input hedged_attempt::current_input(milliseconds now) const
 {
     auto input = call_.hedge_facts();
     const auto& worker_state = *call_.worker_state_;
     input.waiting_calls_ =
         worker_state.state_->waiting_calls_total_.load(relaxed);
-    if (candidate.entry_ != nullptr)
-    {
-        input.better_ = candidate.seen_;
-    }
     input.needs_permit_ = needs_permit();
     input.has_permit_ = state_.account_permit_.has_value() &&
                         now < state_.account_permit_->expires_at_;
@@ -179,7 +184,7 @@
 // Requests a permit of the account. If there is none, the call is not hedged.
 void hedged_attempt::request_permit()
 {
-    return_permit();
+    call_.return_permit(state_.account_permit_);
     const limit_key key{limit_kind::account, call_.account()->name_};
     worker_.permits()->acquire(
         key,
@@ -208,16 +213,6 @@
     check_later(worker_.now());
 }
 
-// Gives a permit that was not spent back.
-void hedged_attempt::return_permit()
-{
-    const auto permit = std::exchange(state_.account_permit_, std::nullopt);
-    if (permit && !permit->spent_)
-    {
-        worker_.permits()->give_back(permit->key_, permit->expires_at_);
-    }
-}
-
 void hedged_attempt::count_suppressed()
 {
     if (!std::exchange(suppressed_, true))
@@ -238,8 +233,10 @@
     {
         return;
     }
-    --queries_left_;
-    worker_.query_load(service, *candidate.entry_);
+    if (worker_.query_load(service, *candidate.entry_))
+    {
+        --queries_left_;
+    }
 }
 
 void hedged_attempt::start(const hedge_candidate& candidate, milliseconds now)
@@ -269,6 +266,26 @@
     const auto connection = worker_.connect(target);
     state_.connection_ = connection;
     connection->begin(*this, call_.is_head_request_, call_.call_id_);
+    if (state_.connecting_)
+    {
+        limit_connect_time();
+    }
+}
+
+// Ends the attempt if the target does not accept the connection in time.
+void hedged_attempt::limit_connect_time()
+{
+    timer_.expires_after(
+        to_duration(worker_.core().settings_.connect_timeout_));
+    timer_.async_wait(
+        [this, self = link_.share_call(), generation = generation_](
+            const boost::system::error_code& error)
+        {
+            if (!error && generation == generation_ && state_.connecting_)
+            {
+                fail(error_kind::target_unreachable, false);
+            }
+        });
 }
 
 // Returns whether the call may be sent to the chosen target now. The permit may
@@ -309,7 +326,6 @@
 void hedged_attempt::on_bytes_sent()
 {
     state_.bytes_sent_ = true;
-    was_sent_ = true;
     record_sent(*state_.target_);
 }
 
@@ -408,14 +424,28 @@
     {
         record_result(target, true, worker_.now());
     }
+    // A target to which nothing was sent remains a choice for a retry.
+    if (kind == error_kind::target_unreachable || state_.bytes_sent_)
+    {
+        call_.excluded_.push_back(&target);
+    }
+    else
+    {
+        ++call_.withdrawn_attempts_;
+    }
+    log_end(kind, refused);
+    release(refused);
+}
+
+void hedged_attempt::log_end(error_kind kind, bool refused) const
+{
     log_event(log_level::info, "hedge_ended")
         .field("call", call_.call_id_)
-        .field("target", target.name_)
+        .field("target", state_.target_->name_)
         .field("reason", describe(kind).name_)
         .field("refused", refused)
         .field("ran_ms", (worker_.now() - state_.started_at_).count())
         .write();
-    release(refused);
 }
 
 // Releases the slot and the permit. The target may have run the call if bytes
@@ -431,8 +461,7 @@
     {
         state_.account_permit_->spent_ = false;
     }
-    return_permit();
-    call_.excluded_.push_back(state_.target_.get());
+    call_.return_permit(state_.account_permit_);
     release_slot(*state_.target_);
     worker_.post_slot_freed(call_.service().state_);
     state_ = {};
--- a/modules/av_proxy/hedged_attempt.hpp
+++ b/modules/av_proxy/hedged_attempt.hpp
@@ -71,13 +71,11 @@
     void reset();
 
     bool is_running() const;
-    // Whether two attempts of the call may have run.
-    bool was_sent() const;
 
     // Bytes of the response that are buffered.
     std::size_t buffered_bytes() const;
 
-    // Gives the running attempt away.
+    // Moves the running attempt to the caller, which continues it.
     hedge_state hand_over();
 
 private:
@@ -93,19 +91,19 @@
 
     void check_later(milliseconds at);
     void check();
-    hedge_input input_of(const hedge_candidate& candidate,
-                         milliseconds now) const;
+    hedge_input current_input(milliseconds now) const;
     bool needs_permit() const;
     void request_permit();
     void on_permit(const permit_answer& answer);
-    void return_permit();
     void count_suppressed();
     void query_load(const hedge_candidate& candidate);
     void start(const hedge_candidate& candidate, milliseconds now);
+    void limit_connect_time();
     bool may_send_now();
     void win(bool complete);
     void fail(error_kind kind, bool refused);
     void release(bool refused);
+    void log_end(error_kind kind, bool refused) const;
     void log_start(const hedge_candidate& candidate) const;
 
     worker& worker_;
@@ -117,7 +115,6 @@
     std::uint64_t generation_ = 0;
     // Whether the call was hedged, so that it is not hedged again.
     bool used_ = false;
-    bool was_sent_ = false;
     bool suppressed_ = false;
     int queries_left_ = 0;
     hedge_state state_;
--- a/modules/av_proxy/proxied_call_end.cpp
+++ b/modules/av_proxy/proxied_call_end.cpp
@@ -87,7 +87,7 @@
     const auto self = link_.share_call();
     const auto service = service_->state_;
     ++withdrawn_attempts_;
-    log_attempt_end("permit_expired", false);
+    log_attempt_end("not_permitted", false);
     release_attempt_permits(false);
     std::exchange(connection_, nullptr)->abandon();
     connecting_ = false;
--- a/modules/av_proxy/proxied_call_hedge.cpp
+++ b/modules/av_proxy/proxied_call_hedge.cpp
@@ -54,9 +54,9 @@
     }
 }
 
-// Returns whether a response with the status must not go to the caller, because
-// the call was hedged: while the hedge runs, only a conclusive response wins,
-// and later none may say that the call has not run.
+// Returns whether a response with the status must not go to the caller: while
+// the hedge runs, only a conclusive response wins, and once an attempt may have
+// run, none may say that the call has not run.
 bool proxied_call::is_failed_hedged_response(int status) const
 {
     if (hedge_ == nullptr)
@@ -65,7 +65,7 @@
     }
     return hedge_->is_running()
                ? !is_conclusive(status)
-               : hedge_->was_sent() && promises_not_run(status);
+               : possible_runs_ > 0 && promises_not_run(status);
 }
 
 // Called when the attempt has ended without a response for the caller. Returns
--- a/modules/av_proxy/worker.hpp
+++ b/modules/av_proxy/worker.hpp
@@ -166,7 +166,8 @@
     hedge_candidate find_hedge_target(const proxied_call& call);
 
     // Sends a load query to the target, for a call that may be hedged to it.
-    void query_load(const service_entry& service, const target_entry& target);
+    // Returns false if an earlier one has no response yet.
+    bool query_load(const service_entry& service, const target_entry& target);
 
     // Keeps a call pending until this VM has its configuration (rules and
     // targets).
--- a/modules/av_proxy/worker_hedge.cpp
+++ b/modules/av_proxy/worker_hedge.cpp
@@ -76,10 +76,15 @@
     return best;
 }
 
-void worker::query_load(const service_entry& service,
+bool worker::query_load(const service_entry& service,
                         const target_entry& target)
 {
+    if (load_query_sender_.awaits(target.state_.get()))
+    {
+        return false;
+    }
     load_query_sender_.send_query(service, target);
+    return true;
 }
 
 void worker::post_slot_freed(const std::shared_ptr<service_state>& service)
--- a/modules/av_quota/permit_ledger.hpp
+++ b/modules/av_quota/permit_ledger.hpp
@@ -43,8 +43,9 @@
     milliseconds counted_at_{0.0};
     // Calls that were refused and are expected to return, see retry_after_.
     double refused_ = 0.0;
-    // When, if nothing more is taken, both buckets are full and no window has
-    // permits of before together with later ones.
+    // Time from which the bucket can be removed if nothing more is taken: both
+    // buckets are full, and no permit granted so far can be used in one window
+    // with a later one.
     milliseconds removable_at_{0.0};
     // Whether permits were ever taken.
     bool granted_ = false;
@@ -73,9 +74,8 @@
                           const permit_request& request,
                           milliseconds now);
 
-// Removes buckets that were not used for so long that a new one would be full,
-// and that the permits of both are used in no common window. This bounds the
-// ledger by the limits in use.
+// Removes buckets whose removable_at_ has passed, so that the ledger holds only
+// limits in recent use.
 void remove_idle(permit_ledger& ledger, milliseconds now);
 
 } // namespace anvilturn
