--- a/modules/av_proxy/hedged_attempt.cpp
+++ b/modules/av_proxy/hedged_attempt.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace anvilturn
@@ -241,6 +242,7 @@
 
 void hedged_attempt::start(const hedge_candidate& candidate, milliseconds now)
 {
+    assert(candidate.entry_ != nullptr);
     const auto& target = *candidate.entry_;
     if (!try_acquire_slot(*target.state_, candidate.local_limit_))
     {
