--- a/modules/av_feed/watcher_subscription.cpp
+++ b/modules/av_feed/watcher_subscription.cpp
@@ -19,7 +19,7 @@
 
 // Returns the age of the store's last response by which a watcher is judged.
 // One that is relayed is older by up to a heartbeat interval than the watcher
-// that got it has reported; without this allowance subscribers would leave a
+// that got it has reported; without this margin subscribers would leave a
 // watcher that still follows another one.
 milliseconds contact_age(const registry_update& update)
 {
--- a/modules/av_grants/permit_client_state.hpp
+++ b/modules/av_grants/permit_client_state.hpp
@@ -25,8 +25,8 @@
 
 // Time after which the next grantor is asked.
 constexpr milliseconds response_timeout{60.0};
-// The same if no other one is left: to the caller a late permit is worth more
-// than a refusal, which a busy machine would cause otherwise.
+// The same if no other one is left. Longer, since a busy grantor may still
+// respond, while the call would be refused otherwise.
 constexpr milliseconds last_response_timeout{250.0};
 
 using permit_callback = std::function<void(permit_answer)>;
--- a/modules/av_proxy/hedged_attempt.cpp
+++ b/modules/av_proxy/hedged_attempt.cpp
@@ -126,7 +126,8 @@
     }
     auto input = current_input(now);
     auto action = decide_hedge(input, now);
-    // Only a call that could be hedged is worth a look at all targets.
+    // Looking at all targets is costly, so only a call that could be hedged
+    // does.
     hedge_candidate candidate;
     if (action == hedge_action::wait && input.waiting_calls_ == 0)
     {
