Report the age of the contents beside that of the last answer

Cause: logs and metrics told when the store had last answered, whatever it had answered. Change: each collection remembers the latest time at which its contents were certainly complete, which is when the call was sent whose response showed it. The metric anvilturn_contents_age_milliseconds, contents_age_ms in the dump and in store_lost tell the oldest of them. No decision depends on it yet.

--- a/modules/av_daemon/metrics_page.cpp
+++ b/modules/av_daemon/metrics_page.cpp
@@ -240,6 +240,11 @@
                "Time since the store last answered this VM or its watcher.",
                {},
                age(registry.answered_at_));
+    list.gauge("contents_age_milliseconds",
+               "Time since the release and the targets were last known to be "
+               "complete.",
+               {},
+               age(registry.current_at_));
     list.gauge("release_age_milliseconds",
                "Time since the release in force was taken up.",
                {},
--- a/modules/av_daemon/state_dump.cpp
+++ b/modules/av_daemon/state_dump.cpp
@@ -166,6 +166,7 @@
     begin_map(out, "registry");
     put(out, "watcher", registry.watcher_);
     put(out, "store_answered_ago_ms", age_of(registry.answered_at_, now));
+    put(out, "contents_age_ms", age_of(registry.current_at_, now));
     put(out, "release_ago_ms", age_of(registry.release_at_, now));
     put(out, "targets_ago_ms", age_of(registry.targets_at_, now));
     put(out, "targets", registry.targets_);
--- a/modules/av_feed/collection_feed.hpp
+++ b/modules/av_feed/collection_feed.hpp
@@ -3,6 +3,7 @@
 
 #include <av_core/error.hpp>
 #include <av_core/log_event.hpp>
+#include <av_core/monotonic_clock.hpp>
 #include <av_feed/collection_source.hpp>
 #include <av_feed/listing_progress.hpp>
 #include <av_net/duration.hpp>
@@ -10,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -108,6 +110,14 @@
         return revision_;
     }
 
+    // Returns the latest time at which the known contents were certainly
+    // complete: when the call was sent whose response showed it, since nothing
+    // tells when the store composed a response. Zero if never.
+    milliseconds current_at() const
+    {
+        return current_at_;
+    }
+
 private:
     // Each watch costs one call however long it waits, but connections that
     // are idle for longer may be closed on the way.
@@ -125,6 +135,7 @@
         if (after.empty())
         {
             progress_ = listing_progress<Value>();
+            listing_sent_at_ = monotonic_now();
         }
         source_.list_(after,
                       [this, generation = generation_, first = after.empty()](
@@ -163,6 +174,7 @@
         }
         const auto objects = progress_.take_objects();
         listed_ = true;
+        current_at_ = std::max(current_at_, listing_sent_at_);
         log_decode_errors(objects);
         watch();
         if (step == listing_step::stuck)
@@ -229,17 +241,20 @@
         watching_ = true;
         source_.watch_(revision_,
                        watch_time_limit,
-                       [this, generation = generation_](
+                       [this,
+                        generation = generation_,
+                        sent_at = monotonic_now()](
                            typename collection_source<Value>::changes changes)
                        {
                            if (generation == generation_)
                            {
-                               apply_changes(std::move(changes));
+                               apply_changes(sent_at, std::move(changes));
                            }
                        });
     }
 
-    void apply_changes(typename collection_source<Value>::changes changes)
+    void apply_changes(milliseconds sent_at,
+                       typename collection_source<Value>::changes changes)
     {
         watching_ = false;
         silent_checks_ = 0;
@@ -258,6 +273,7 @@
             return;
         }
         revision_ = changes->revision_;
+        current_at_ = std::max(current_at_, sent_at);
         if (changes->changes_.empty())
         {
             watch();
@@ -332,6 +348,8 @@
     boost::asio::steady_timer relisting_timer_;
     listing_progress<Value> progress_;
     store_revision revision_ = 0;
+    milliseconds current_at_;
+    milliseconds listing_sent_at_;
     // Results of calls from an earlier generation are ignored.
     int generation_ = 0;
     bool listed_ = false;
--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -135,6 +135,7 @@
     {
         registry_state result;
         result.answered_at_ = subscription_.answered_at();
+        result.current_at_ = store_.current_at();
         result.watcher_losses_ = subscription_.losses();
         replica_.describe(result);
         result.subscribers_ = server_.subscribers();
--- a/modules/av_feed/registry_control.hpp
+++ b/modules/av_feed/registry_control.hpp
@@ -54,6 +54,9 @@
     std::string watcher_;
     // When the store last answered this VM or its watcher; zero if never.
     milliseconds answered_at_;
+    // The latest time at which the contents that this VM reads from the store
+    // itself were certainly complete; zero if never.
+    milliseconds current_at_;
     // When the release and the targets last changed here; zero if never.
     milliseconds release_at_;
     milliseconds targets_at_;
--- a/modules/av_feed/store_session.cpp
+++ b/modules/av_feed/store_session.cpp
@@ -5,6 +5,7 @@
 #include <av_feed/collection_feed.hpp>
 #include <av_feed/retry_backoff.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <random>
 #include <utility>
@@ -106,6 +107,12 @@
         return answered_at_;
     }
 
+    milliseconds current_at() const
+    {
+        const auto at = std::min(releases_.current_at(), targets_.current_at());
+        return evacuations_ ? std::min(at, evacuations_->current_at()) : at;
+    }
+
     bool is_synced() const
     {
         return releases_.is_listed() && targets_.is_listed() &&
@@ -262,6 +269,8 @@
             log_event(log_level::warning, "store_lost")
                 .field("answered_ago_ms",
                        (monotonic_now() - answered_at_).count())
+                .field("contents_age_ms",
+                       (monotonic_now() - current_at()).count())
                 .field("error", status)
                 .write();
         }
@@ -427,6 +436,11 @@
     return implementation_->answered_at();
 }
 
+milliseconds store_session::current_at() const
+{
+    return implementation_->current_at();
+}
+
 bool store_session::is_synced() const
 {
     return implementation_->is_synced();
--- a/modules/av_feed/store_session.hpp
+++ b/modules/av_feed/store_session.hpp
@@ -77,6 +77,11 @@
     // Returns when the store last answered; zero if never.
     milliseconds answered_at() const;
 
+    // Returns the latest time at which the known contents of all collections
+    // were certainly complete; zero if never. Unlike an answer of any kind, this
+    // shows that no change has been missed.
+    milliseconds current_at() const;
+
     // Returns whether all collections have been listed and no call has failed
     // since.
     bool is_synced() const;
