Give up the idle connections to the store after a call without response

Cause: open connections may go silent together, while new ones work. The client of the store keeps up to four idle ones and tried one after the other, each until the time limit of its call (0.4 to 1.5 s): up to seconds in which a watcher learns of no change. Ruled out: TCP keep-alive alone, which takes 3 s. Change: a call that ends without a response closes the idle connections, so the next call opens a new one. Result: a_call_without_response_ends_the_idle_connections failed before (the next call ended without a response, too) and passes.

--- a/modules/av_net/http_caller.cpp
+++ b/modules/av_net/http_caller.cpp
@@ -68,7 +68,7 @@
                        {
                            if (const auto self = weak.lock())
                            {
-                               self->finish(key);
+                               self->finish(key, result.outcome_);
                                done(std::move(result));
                            }
                        });
@@ -96,9 +96,15 @@
                    });
     }
 
-    void finish(http_exchange* key)
+    // After a call without a response, the other connections may be dead too,
+    // and each would take the time limit of a call to show it.
+    void finish(http_exchange* key, http_outcome outcome)
     {
         const auto finished = running_exchanges_.extract(key);
+        if (outcome != http_outcome::answered)
+        {
+            idle_connections_.clear();
+        }
         auto stream = finished.mapped()->take_stream();
         if (stream && idle_connections_.size() < idle_connection_limit)
         {
--- a/modules/av_net/tests/http_exchange_test.cpp
+++ b/modules/av_net/tests/http_exchange_test.cpp
@@ -46,6 +46,47 @@
 
 BOOST_AUTO_TEST_SUITE(http_exchanges)
 
+// Guards against contents of the store that grow old while one dead connection
+// after the other is tried: open connections may go silent together.
+BOOST_AUTO_TEST_CASE(a_call_without_response_ends_the_idle_connections)
+{
+    constexpr int idle_connections = 3;
+    asio::io_context context;
+    fixed_response_server server(context,
+                                 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                                 server_behavior::stall);
+    http_caller caller(context, server.address(), body_limit);
+    std::vector<http_outcome> outcomes;
+    const auto start = [&](milliseconds timeout)
+    {
+        caller.call(http_request(boost::beast::http::verb::get, "/", 11),
+                    timeout,
+                    [&](const http_result& answer)
+                    {
+                        outcomes.push_back(answer.outcome_);
+                    });
+    };
+    const auto run_until_ended = [&](std::size_t calls)
+    {
+        while (outcomes.size() < calls)
+        {
+            context.run_one();
+        }
+    };
+    for (int call = 0; call < idle_connections; ++call)
+    {
+        start(call_timeout);
+    }
+    run_until_ended(idle_connections);
+    start(milliseconds(20.0));
+    run_until_ended(idle_connections + 1);
+    BOOST_TEST((outcomes.back() == http_outcome::response_lost));
+    start(call_timeout);
+    run_until_ended(idle_connections + 2);
+    BOOST_TEST((outcomes.back() == http_outcome::answered));
+    server.stop();
+}
+
 BOOST_AUTO_TEST_CASE(a_response_without_length_ends_with_its_connection)
 {
     const auto result =
