Let a leaving entry count whatever start time it claims

Cause: an entry whose start time is earlier than the known one was ignored whatever its revision, in case a process that has ended wrote it late. The target of a machine whose clock was set back is also of that kind, so its leaving was ignored until its entry was removed. Change: such an entry still brings no target into use, but if it is leaving, the target gets no new calls. Result: a_leaving_target_counts_whatever_its_start_time failed before for the start times 0 and 6 beside 7 and passes; outdated_changes_are_ignored, which guards the late write, is unchanged.

--- a/modules/av_registry/target_registry.cpp
+++ b/modules/av_registry/target_registry.cpp
@@ -51,6 +51,20 @@
     return result;
 }
 
+// Applies a newer entry that claims an earlier start. It may have been written
+// late by a process that has ended, so it brings no target into use; but it may
+// also be that of a machine whose clock was set back, so if it is leaving, that
+// counts.
+void apply_entry_of_earlier_start(registered_target& known,
+                                  const listed_target& object)
+{
+    if (object.value_->draining_)
+    {
+        known.spec_.draining_ = true;
+        known.revision_ = object.revision_;
+    }
+}
+
 void apply_object(target_registry& registry, const listed_target& object)
 {
     const auto known = registry.entries_.find(object.name_);
@@ -67,10 +81,13 @@
         registry.entries_[object.name_] = registration_of(object);
         return;
     }
-    const bool from_earlier_start =
-        object.value_->incarnation_ < known->second.spec_.incarnation_;
-    if (from_earlier_start || object.revision_ < known->second.revision_)
+    if (object.revision_ < known->second.revision_)
+    {
+        return;
+    }
+    if (object.value_->incarnation_ < known->second.spec_.incarnation_)
     {
+        apply_entry_of_earlier_start(known->second, object);
         return;
     }
     known->second = registration_of(object);
--- a/modules/av_registry/target_registry.hpp
+++ b/modules/av_registry/target_registry.hpp
@@ -62,8 +62,9 @@
 
 // Applies changes in their order. A change with an older revision than that of
 // the known entry is ignored, and so is an entry of an earlier start of the
-// target. An entry that is expiring at another VM is removed at once unless
-// this VM has seen an outage too: without one, a missing target has left.
+// target unless it is leaving. An entry that is expiring at another VM is
+// removed at once unless this VM has seen an outage too: without one, a missing
+// target has left.
 void apply_changes(target_registry& registry,
                    const std::vector<target_change>& changes,
                    milliseconds now);
--- a/modules/av_registry/tests/target_registry_test.cpp
+++ b/modules/av_registry/tests/target_registry_test.cpp
@@ -171,6 +171,23 @@
     }
 }
 
+// Guards against calls to a target that left: it started again with a clock
+// that was set back, so that its entries seem to be of an earlier start.
+BOOST_AUTO_TEST_CASE(a_leaving_target_counts_whatever_its_start_time)
+{
+    for (const std::int64_t incarnation : {0, 6, 7, 8})
+    {
+        auto registry = registry_with({listed_entry("a", 5, 7)});
+        const auto leaving = listed_entry("a", 9, incarnation, true);
+        apply_changes(registry, {change_of(leaving)}, start);
+        BOOST_TEST(registered_targets(registry).at("a").draining_);
+        // A late write of a process that has ended does not bring it back.
+        const auto late = listed_entry("a", 10, 6);
+        apply_changes(registry, {change_of(late)}, start);
+        BOOST_TEST(registered_targets(registry).at("a").draining_);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(later_incarnation_replaces_earlier_one_of_the_same_name)
 {
     auto registry = registry_with({listed_entry("a", 5, 7, true)});
