Look at the target again before a call is sent to it

Cause: between the choice of a target and the sending, the call waits for a connection, up to its time limit (300 ms on the platform). The permits and the coldness of the target were looked at again then, but not whether it had left. Callers reached a target that was known to be leaving. Change: when the connection is there, the newest table decides whether the target may still be called, for calls and for hedges: it is registered, not leaving, its address was not taken over and its failure domain is not evacuated. If not, nothing is sent and a target is chosen again, which does not count as an attempt.

--- a/modules/av_proxy/hedged_attempt.cpp
+++ b/modules/av_proxy/hedged_attempt.cpp
@@ -291,15 +291,17 @@
         });
 }
 
-// Returns whether the call may be sent to the chosen target now. The permit may
-// have expired since the choice, or the target may have become cold.
+// Returns whether the call may be sent to the chosen target now. Since the
+// choice the target may have left or become cold, and the permit may have
+// expired.
 bool hedged_attempt::may_send_now()
 {
     const auto now = worker_.now();
     const auto& permit = state_.account_permit_;
     const bool has_permit = permit && now < permit->expires_at_;
     return now < call_.deadline() && !was_paused(state_.started_at_, now) &&
-           !is_cold(*state_.target_, now) && (has_permit || !needs_permit());
+           call_.may_call(*state_.target_) && !is_cold(*state_.target_, now) &&
+           (has_permit || !needs_permit());
 }
 
 void hedged_attempt::on_connected()
--- a/modules/av_proxy/proxied_call.hpp
+++ b/modules/av_proxy/proxied_call.hpp
@@ -146,6 +146,7 @@
     bool awaits_permit(std::uint64_t request) const;
     void on_account_permit(const permit_answer& answer);
     void take_cold_permit(const target_entry& target);
+    bool may_call(const target_state& target) const;
     bool may_send_now();
     void spend_permits();
     void release_attempt_permits(bool refused);
--- a/modules/av_proxy/proxied_call_end.cpp
+++ b/modules/av_proxy/proxied_call_end.cpp
@@ -79,9 +79,9 @@
     return attempts_ - withdrawn_attempts_ < max_total_attempts;
 }
 
-// Ends an attempt of which nothing was sent because a permit has expired since
-// the choice, or the target has become cold, and chooses again. It is no
-// failure of the target, and the call has not used an attempt.
+// Ends an attempt of which nothing was sent because the target has left or
+// become cold since the choice, or a permit has expired, and chooses again. It
+// is no failure of the target, and the call has not used an attempt.
 void proxied_call::withdraw_attempt()
 {
     const auto self = link_.share_call();
--- a/modules/av_proxy/proxied_call_permits.cpp
+++ b/modules/av_proxy/proxied_call_permits.cpp
@@ -88,14 +88,28 @@
     }
 }
 
-// Returns whether the call may be sent to the chosen target now. The permits
-// may have expired since the choice, or the target may have become cold.
+// Returns whether the call may be sent to the target by the newest table, which
+// may have changed since the target was chosen.
+bool proxied_call::may_call(const target_state& target) const
+{
+    const auto* service =
+        worker_.table()->find_service(worker_state_->state_->name_);
+    return service != nullptr && may_be_called(*service, target, regions_);
+}
+
+// Returns whether the call may be sent to the chosen target now. Since the
+// choice the target may have left or become cold, and the permits may have
+// expired.
 bool proxied_call::may_send_now()
 {
     if (to_vm_)
     {
         return true;
     }
+    if (!may_call(*target_))
+    {
+        return false;
+    }
     const auto now = worker_.now();
     const bool needs_target_permit =
         worker_.limits_cold_targets(*service_) && is_cold(*target_, now);
--- a/modules/av_proxy/routing_table.cpp
+++ b/modules/av_proxy/routing_table.cpp
@@ -160,6 +160,16 @@
     return !target.evacuated_ && allows(limit, target.region_);
 }
 
+bool may_be_called(const service_entry& service,
+                   const target_state& target,
+                   const region_limit& limit) noexcept
+{
+    const auto* entry = find_target(service, target.name_);
+    return entry != nullptr && entry->state_.get() == &target &&
+           !is_leaving_or_replaced(entry->spec_, target) &&
+           is_permitted(*entry, limit);
+}
+
 bool has_permitted_target(const service_entry& service,
                           const region_limit& limit) noexcept
 {
--- a/modules/av_proxy/routing_table.hpp
+++ b/modules/av_proxy/routing_table.hpp
@@ -57,6 +57,13 @@
 bool is_permitted(const target_entry& target,
                   const region_limit& limit) noexcept;
 
+// Returns whether the target that was chosen by this table or an earlier one
+// may be sent a call now: it is still registered, is not leaving and is
+// permitted.
+bool may_be_called(const service_entry& service,
+                   const target_state& target,
+                   const region_limit& limit) noexcept;
+
 // Returns whether the service has a target that is permitted, whether or not it
 // can be used now, or no target that would be excluded.
 bool has_permitted_target(const service_entry& service,
--- a/modules/av_proxy/target_state.cpp
+++ b/modules/av_proxy/target_state.cpp
@@ -283,14 +283,18 @@
     }
 }
 
+bool is_leaving_or_replaced(const target_spec& spec,
+                            const target_state& state) noexcept
+{
+    return spec.draining_ || state.address_taken_over_.load(relaxed) ||
+           state.draining_since_ms_.load() >= 0.0;
+}
+
 target_eligibility eligibility(const target_spec& spec,
                                const target_state& state,
                                const eligibility_input& input) noexcept
 {
-    const bool is_draining_or_replaced =
-        spec.draining_ || state.address_taken_over_.load(relaxed) ||
-        state.draining_since_ms_.load() >= 0.0;
-    if (is_draining_or_replaced ||
+    if (is_leaving_or_replaced(spec, state) ||
         input.now_.count() < state.unreachable_until_ms_.load(relaxed))
     {
         return target_eligibility::excluded;
--- a/modules/av_proxy/target_state.hpp
+++ b/modules/av_proxy/target_state.hpp
@@ -185,6 +185,11 @@
     excluded
 };
 
+// Returns whether the target gets no new calls because it is leaving, or
+// because another one answers at its address.
+bool is_leaving_or_replaced(const target_spec& spec,
+                            const target_state& state) noexcept;
+
 target_eligibility eligibility(const target_spec& spec,
                                const target_state& state,
                                const eligibility_input& input) noexcept;
--- a/modules/av_proxy/tests/late_check_test.cpp
+++ b/modules/av_proxy/tests/late_check_test.cpp
@@ -104,6 +104,90 @@
     std::unique_ptr<relay> vm_;
 };
 
+// A request path with two targets, and a change during the first choice, which
+// names the first of them.
+class relay_with_late_change
+{
+public:
+    using change = std::function<void(request_path&, const release&)>;
+
+    relay_with_late_change(const std::vector<std::string>& targets,
+                           change apply)
+        : release_(make_release(targets, "scripted_choice"))
+        , vm_(release_)
+    {
+        on_choice = [this, apply = std::move(apply)]
+        {
+            if (++choices_ == 1)
+            {
+                apply(vm_.path(), release_);
+            }
+        };
+    }
+
+    ~relay_with_late_change()
+    {
+        vm_.end();
+        on_choice = nullptr;
+    }
+
+    relay_with_late_change(const relay_with_late_change&) = delete;
+    relay_with_late_change& operator=(const relay_with_late_change&) = delete;
+
+    relay& vm()
+    {
+        return vm_;
+    }
+
+private:
+    const release release_;
+    int choices_ = 0;
+    relay vm_;
+};
+
+struct late_change
+{
+    const char* name_;
+    relay_with_late_change::change apply_;
+};
+
+// Changes after which the first target must not be called.
+const std::vector<late_change>& late_changes()
+{
+    static const std::vector<late_change> changes{
+        {"its entry is removed",
+         [](request_path& path, const release& value)
+         {
+             auto targets = value.targets_;
+             targets.erase("kits-1");
+             path.publish(targets);
+         }},
+        {"it reports that it is leaving",
+         [](request_path& path, const release& value)
+         {
+             auto targets = value.targets_;
+             targets["kits-1"].draining_ = true;
+             path.publish(targets);
+         }},
+        {"another VM reports that it is leaving",
+         [](request_path& path, const release&)
+         {
+             target_notice notice;
+             notice.target_ = "kits-1";
+             notice.kind_ = target_notice_kind::draining;
+             path.apply(notice);
+         }},
+        {"its failure domain is evacuated",
+         [](request_path& path, const release& value)
+         {
+             auto targets = value.targets_;
+             targets["kits-2"].failure_domain_ = "b";
+             path.publish(targets);
+             path.publish_evacuations({"a"});
+         }}};
+    return changes;
+}
+
 // Accepts the next connection on which a request is sent.
 test_connection accept_request(scripted_target& target)
 {
@@ -141,6 +225,33 @@
     BOOST_TEST(target.calls() == 1);
 }
 
+// Guards against calls that reach a target after it has left, because it was
+// chosen before and the connection took its time.
+BOOST_AUTO_TEST_CASE(a_target_that_left_after_the_choice_gets_no_call)
+{
+    for (const auto& change : late_changes())
+    {
+        BOOST_TEST_CONTEXT(change.name_)
+        {
+            counting_target first(
+                []
+                {
+                    return std::string();
+                });
+            counting_target second(
+                []
+                {
+                    return std::string();
+                });
+            relay_with_late_change fixture({first.address(), second.address()},
+                                           change.apply_);
+            BOOST_TEST(call_once(fixture.vm(), request("/kits", "")) == served);
+            BOOST_TEST(first.calls() == 0);
+            BOOST_TEST(second.calls() == 1);
+        }
+    }
+}
+
 // A call of which nothing was sent was refused after eight permits that
 // expired, as one whose response was lost. It may still be refused by a target
 // and go to another one.
