--- a/modules/av_feed/collection_feed.hpp
+++ b/modules/av_feed/collection_feed.hpp
@@ -40,14 +40,12 @@
 class collection_feed
 {
 public:
-    // The name appears in log lines. For max_silent_checks see check().
+    // The name appears in log lines.
     collection_feed(boost::asio::io_context& context,
                     std::string name,
                     collection_source<Value> source,
-                    collection_observer<Value> observer,
-                    int max_silent_checks = 2)
+                    collection_observer<Value> observer)
         : name_(std::move(name))
-        , max_silent_checks_(max_silent_checks)
         , source_(std::move(source))
         , observer_(std::move(observer))
         , timer_(context)
@@ -73,32 +71,47 @@
         relisting_timer_.cancel();
         listed_ = false;
         watching_ = false;
-        silent_checks_ = 0;
+        was_cut_ = false;
     }
 
-    // Checks whether the store has changes that the watch has not reported. If
-    // max_silent_checks in a row find some, the watch is replaced: its
-    // connection may be dead while others work.
-    void check(milliseconds timeout,
-               std::function<void(const absl::Status& status)> done)
+    // Brings the contents up to the revision that the store had at the time
+    // given or later. Calls the store only if the watch has not reported
+    // everything up to that revision; what it has missed is applied at once,
+    // and the watch is replaced, since its connection may be dead while others
+    // work.
+    void catch_up(store_revision store_revision_then,
+                  milliseconds at,
+                  milliseconds timeout,
+                  std::function<void(const absl::Status& status)> done)
     {
-        source_.has_changes_(
-            revision_,
-            timeout,
-            [this,
-             generation = generation_,
-             since = revision_,
-             done = std::move(done)](absl::StatusOr<bool> has_changes)
-            {
-                if (has_changes.ok() && generation == generation_)
-                {
-                    apply_check_result(since, *has_changes);
-                }
-                done(has_changes.status());
-            });
+        if (!listed_)
+        {
+            done(absl::OkStatus());
+            return;
+        }
+        if (revision_ >= store_revision_then)
+        {
+            was_cut_ = false;
+            current_at_ = std::max(current_at_, at);
+            done(absl::OkStatus());
+            return;
+        }
+        read_changes(timeout,
+                     [this, done = std::move(done)](const absl::Status& status)
+                     {
+                         if (kind_of(status) ==
+                             error_kind::platform_history_gone)
+                         {
+                             list_after_lost_history();
+                             done(absl::OkStatus());
+                             return;
+                         }
+                         done(status);
+                     });
     }
 
-    // Returns whether the collection has been listed since the last start.
+    // Returns whether the collection has been listed since the last start, and
+    // is not being listed again.
     bool is_listed() const
     {
         return listed_;
@@ -126,6 +139,8 @@
     // follow each other closely. The first change after a pause is not delayed,
     // since a watch is pending then.
     static constexpr milliseconds watch_batching_delay{600.0};
+    // Time limit of the call that replaces a refused listing.
+    static constexpr milliseconds refused_list_timeout{400.0};
     // Delay before a listing that could not be completed is tried again.
     static constexpr milliseconds relisting_delay{5000.0};
     static constexpr std::size_t max_logged_name_length = 100;
@@ -134,6 +149,9 @@
     {
         if (after.empty())
         {
+            ++generation_;
+            listed_ = false;
+            watching_ = false;
             progress_ = listing_progress<Value>();
             listing_sent_at_ = monotonic_now();
         }
@@ -155,6 +173,12 @@
             list({});
             return;
         }
+        if (kind_of(page.status()) == error_kind::platform_refused &&
+            current_at_ > milliseconds(0.0))
+        {
+            resume(page.status());
+            return;
+        }
         if (!page.ok())
         {
             fail(page.status());
@@ -164,7 +188,7 @@
         {
             // The watch starts here, so it returns the changes that are made
             // while further pages are read.
-            revision_ = page->revision_;
+            listing_revision_ = page->revision_;
         }
         const auto step = progress_.add(*std::move(page));
         if (step == listing_step::read_next_page)
@@ -174,6 +198,7 @@
         }
         const auto objects = progress_.take_objects();
         listed_ = true;
+        revision_ = listing_revision_;
         current_at_ = std::max(current_at_, listing_sent_at_);
         log_decode_errors(objects);
         watch();
@@ -216,24 +241,81 @@
             });
     }
 
-    void apply_check_result(store_revision since, bool has_changes)
+    // Goes on from the known revision while the store refuses lists, and lists
+    // later.
+    void resume(const absl::Status& refusal)
+    {
+        read_changes(refused_list_timeout,
+                     [this, generation = generation_, refusal](
+                         const absl::Status& status)
+                     {
+                         if (!status.ok() && generation == generation_)
+                         {
+                             fail(refusal);
+                         }
+                     });
+    }
+
+    void read_changes(milliseconds timeout,
+                      std::function<void(const absl::Status& status)> done)
     {
-        if (!has_changes || !watching_ || since != revision_)
+        source_.read_changes_(
+            revision_,
+            timeout,
+            [this,
+             generation = generation_,
+             since = revision_,
+             sent_at = monotonic_now(),
+             done = std::move(done)](
+                typename collection_source<Value>::changes changes)
+            {
+                if (generation != generation_)
+                {
+                    done(absl::OkStatus());
+                    return;
+                }
+                const auto status = changes.status();
+                if (status.ok())
+                {
+                    apply_read_changes(since, sent_at, *std::move(changes));
+                }
+                done(status);
+            });
+    }
+
+    // Applies changes that were read beside the watch.
+    void apply_read_changes(store_revision since,
+                            milliseconds sent_at,
+                            object_changes<Value> changes)
+    {
+        if (since != revision_)
         {
-            silent_checks_ = 0;
-            return;
+            return; // The watch has reported them meanwhile, or more.
+        }
+        was_cut_ = false;
+        revision_ = std::max(revision_, changes.revision_);
+        current_at_ = std::max(current_at_, sent_at);
+        const bool resumes = !std::exchange(listed_, true);
+        if (resumes)
+        {
+            schedule_relisting();
+            schedule_watch();
         }
-        if (++silent_checks_ < max_silent_checks_)
+        else if (changes.changes_.empty())
         {
             return;
         }
-        log_event(log_level::warning, "store_watch_silent")
-            .field("collection", name_)
-            .field("revision", revision_)
-            .write();
-        silent_checks_ = 0;
-        ++generation_;
-        watch();
+        if (std::exchange(watching_, false))
+        {
+            log_event(log_level::warning, "store_watch_silent")
+                .field("collection", name_)
+                .field("revision", since)
+                .write();
+            ++generation_;
+            schedule_watch();
+        }
+        log_decode_errors(changes);
+        observer_.on_changes_(std::move(changes.changes_));
     }
 
     void watch()
@@ -243,36 +325,39 @@
                        watch_time_limit,
                        [this,
                         generation = generation_,
+                        since = revision_,
                         sent_at = monotonic_now()](
                            typename collection_source<Value>::changes changes)
                        {
                            if (generation == generation_)
                            {
-                               apply_changes(sent_at, std::move(changes));
+                               apply_changes(
+                                   since, sent_at, std::move(changes));
                            }
                        });
     }
 
-    void apply_changes(milliseconds sent_at,
+    void apply_changes(store_revision since,
+                       milliseconds sent_at,
                        typename collection_source<Value>::changes changes)
     {
         watching_ = false;
-        silent_checks_ = 0;
         if (kind_of(changes.status()) == error_kind::platform_history_gone)
         {
-            log_event(log_level::info, "store_history_gone")
-                .field("collection", name_)
-                .field("revision", revision_)
-                .write();
-            list({});
+            list_after_lost_history();
             return;
         }
         if (!changes.ok())
         {
-            fail(changes.status());
+            handle_cut_watch(changes.status());
             return;
         }
-        revision_ = changes->revision_;
+        // A call beside the watch may have shown that there are no changes up
+        // to a later revision.
+        was_cut_ = false;
+        revision_ = since == revision_
+                        ? changes->revision_
+                        : std::max(revision_, changes->revision_);
         current_at_ = std::max(current_at_, sent_at);
         if (changes->changes_.empty())
         {
@@ -284,6 +369,28 @@
         observer_.on_changes_(std::move(changes->changes_));
     }
 
+    // A watch may be cut off at any time. The store may accept another one from
+    // the known revision and yet miss changes, so the collection is listed; not
+    // again and again, if watches end at once.
+    void handle_cut_watch(const absl::Status& status)
+    {
+        if (std::exchange(was_cut_, true))
+        {
+            fail(status);
+            return;
+        }
+        list({});
+    }
+
+    void list_after_lost_history()
+    {
+        log_event(log_level::info, "store_history_gone")
+            .field("collection", name_)
+            .field("revision", revision_)
+            .write();
+        list({});
+    }
+
     void schedule_watch()
     {
         timer_.expires_after(to_duration(watch_batching_delay));
@@ -341,7 +448,6 @@
     }
 
     const std::string name_;
-    const int max_silent_checks_;
     collection_source<Value> source_;
     collection_observer<Value> observer_;
     boost::asio::steady_timer timer_;
@@ -349,14 +455,15 @@
     listing_progress<Value> progress_;
     store_revision revision_ = 0;
     milliseconds current_at_;
+    store_revision listing_revision_ = 0;
     milliseconds listing_sent_at_;
     // Results of calls from an earlier generation are ignored.
     int generation_ = 0;
     bool listed_ = false;
-    // Whether a watch is pending, and how many of the last checks in a row
-    // found changes that it has not reported.
+    // Whether a watch is pending, and whether one was cut off since the
+    // contents were last known to be complete by another call than a listing.
     bool watching_ = false;
-    int silent_checks_ = 0;
+    bool was_cut_ = false;
 };
 
 } // namespace anvilturn
--- a/modules/av_feed/collection_source.hpp
+++ b/modules/av_feed/collection_source.hpp
@@ -32,13 +32,13 @@
                        std::function<void(changes)> done)>
         watch_;
 
-    // Queries, by the cheapest kind of call, whether the store has changes
-    // after the revision. The result may be stale. Fails if none comes within
-    // the timeout.
+    // Reads the changes after the revision without waiting for any. The
+    // response is never stale. Fails like a watch, or if no response comes
+    // within the timeout.
     std::function<void(store_revision since,
                        milliseconds timeout,
-                       std::function<void(absl::StatusOr<bool>)> done)>
-        has_changes_;
+                       std::function<void(changes)> done)>
+        read_changes_;
 };
 
 } // namespace anvilturn
--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -55,8 +55,8 @@
                       // Watchers must not follow one that follows another
                       // watcher: they could follow each other in a circle.
                       return monotonic_now() -
-                             (is_watcher_ ? store_.answered_at()
-                                          : subscription_.answered_at());
+                             (is_watcher_ ? store_.current_at()
+                                          : subscription_.current_at());
                   })
         , replica_(context,
                    server_,
@@ -87,7 +87,7 @@
                           : std::vector<std::string>(),
               [this]
               {
-                  return monotonic_now() - store_.answered_at();
+                  return monotonic_now() - store_.current_at();
               },
               [this](const registry_update& update)
               {
@@ -99,12 +99,17 @@
             server_.require_evacuations();
             replica_.follow_evacuations();
         }
+        server_.set_answer_age(
+            [this]
+            {
+                return monotonic_now() - subscription_.answered_at();
+            });
         if (is_watcher_)
         {
-            server_.set_relayed_response_age(
+            server_.set_relayed_contents_age(
                 [this]
                 {
-                    return monotonic_now() - subscription_.answered_at();
+                    return monotonic_now() - subscription_.current_at();
                 });
             replica_.start_publishing();
         }
@@ -135,7 +140,7 @@
     {
         registry_state result;
         result.answered_at_ = subscription_.answered_at();
-        result.current_at_ = store_.current_at();
+        result.current_at_ = subscription_.current_at();
         result.watcher_losses_ = subscription_.losses();
         replica_.describe(result);
         result.subscribers_ = server_.subscribers();
@@ -157,10 +162,16 @@
             subscription_.discard_position();
             apply(objects);
         };
-        result.on_answer_ = [this, record = std::move(result.on_answer_)]
+        result.on_target_changes_ =
+            [this, apply = std::move(result.on_target_changes_)](
+                const std::vector<target_change>& changes)
+        {
+            subscription_.discard_position();
+            apply(changes);
+        };
+        result.on_current_ = [this]
         {
-            watcher_fallback_.record_answer();
-            record();
+            watcher_fallback_.record_current();
         };
         return result;
     }
@@ -175,8 +186,7 @@
         {
             return false;
         }
-        subscription_.apply(
-            update, update.store_response_age_, monotonic_now());
+        subscription_.apply(update, update.contents_age_, monotonic_now());
         return true;
     }
 
--- a/modules/av_feed/registry_control.hpp
+++ b/modules/av_feed/registry_control.hpp
@@ -54,8 +54,8 @@
     std::string watcher_;
     // When the store last answered this VM or its watcher; zero if never.
     milliseconds answered_at_;
-    // The latest time at which the contents that this VM reads from the store
-    // itself were certainly complete; zero if never.
+    // The latest time at which the contents were certainly complete; zero if
+    // never.
     milliseconds current_at_;
     // When the release and the targets last changed here; zero if never.
     milliseconds release_at_;
--- a/modules/av_feed/store_adapter.hpp
+++ b/modules/av_feed/store_adapter.hpp
@@ -40,8 +40,16 @@
     collection_source<target_spec> targets_;
     // Evacuations by failure domain. Without functions if they are not read.
     collection_source<evacuation_spec> evacuations_;
+    // Reads the store's revision. The response is never stale, so a collection
+    // that is known up to this revision is completely known. Fails if no
+    // response comes within the timeout.
+    std::function<void(
+        milliseconds timeout,
+        std::function<void(absl::StatusOr<store_revision>)> done)>
+        read_revision_;
     // Checks by a cheap query whether the store answers. Fails if it does not
-    // within the timeout, or with an error; what it answers does not matter.
+    // within the timeout, or with an error; what it answers does not matter,
+    // and shows nothing about the collections.
     std::function<void(milliseconds timeout,
                        std::function<void(absl::Status)> done)>
         check_;
--- a/modules/av_feed/store_fallback.cpp
+++ b/modules/av_feed/store_fallback.cpp
@@ -17,8 +17,8 @@
 // is arriving. If many VMs start at once, the snapshots fill the watchers'
 // links for a while, and listings for each VM would fill the store's.
 constexpr milliseconds max_snapshot_wait_at_startup{6000.0};
-// A standby asks the store once the store's last answer to its watcher is this
-// old, so that it has the store's contents when other VMs leave the watcher.
+// A standby asks the store once its watcher's contents are this old, so that it
+// has the store's contents when other VMs leave the watcher.
 constexpr milliseconds standby_takeover_age{700.0};
 
 } // namespace
@@ -63,7 +63,7 @@
     {
         return;
     }
-    // Subscribers depend on how recent its answers are, like a watcher's.
+    // Subscribers depend on how recent its contents are, like a watcher's.
     store_.set_intervals(is_standby ? watcher_call_intervals
                                     : subscriber_call_intervals);
     log_event(log_level::info, "standby_changed")
@@ -78,17 +78,17 @@
     }
 }
 
-void store_fallback::prepare_takeover(milliseconds store_response_age)
+void store_fallback::prepare_takeover(milliseconds contents_age)
 {
     if (!is_standby_)
     {
         return;
     }
-    const bool takes_over = store_response_age > standby_takeover_age;
+    const bool takes_over = contents_age > standby_takeover_age;
     if (takes_over && !store_.is_running())
     {
         log_event(log_level::info, "standby_takeover")
-            .field("store_answered_ago_ms", store_response_age.count())
+            .field("contents_age_ms", contents_age.count())
             .write();
         store_.start_with_check();
     }
--- a/modules/av_feed/store_fallback.hpp
+++ b/modules/av_feed/store_fallback.hpp
@@ -17,10 +17,9 @@
 namespace anvilturn
 {
 
-// A watcher checks often, because its subscribers ignore its updates once the
-// store's last response is older than max_store_response_age, and because it
-// has another source of changes only once the store has not answered it for a
-// while; see watcher_fallback.
+// A watcher checks often, because its subscribers ignore its updates once its
+// contents are older than max_contents_age, and because it has another source
+// of changes only once they have grown old; see watcher_fallback.
 constexpr store_call_intervals watcher_call_intervals{milliseconds(400.0),
                                                       milliseconds(100.0),
                                                       milliseconds(300.0),
@@ -34,8 +33,8 @@
                                                          milliseconds(1200.0)};
 
 // Decides when a VM that is no watcher reads the store itself: while no watcher
-// sends it updates and, on a standby, also while the watcher's answers from the
-// store are old. Runs on the thread of the io_context only.
+// sends it updates and, on a standby, also while the watcher's contents are
+// old. Runs on the thread of the io_context only.
 class store_fallback
 {
 public:
@@ -56,9 +55,8 @@
     bool is_standby() const;
     // Sets whether this VM is a standby of the watcher at the address.
     void set_standby(bool is_standby, const std::string& watcher);
-    // On a standby, follows the store while the watcher's answers from it are
-    // old.
-    void prepare_takeover(milliseconds store_response_age);
+    // On a standby, follows the store while the watcher's contents are old.
+    void prepare_takeover(milliseconds contents_age);
 
 private:
     void schedule(milliseconds time);
--- a/modules/av_feed/store_session.cpp
+++ b/modules/av_feed/store_session.cpp
@@ -6,6 +6,7 @@
 #include <av_feed/retry_backoff.hpp>
 
 #include <algorithm>
+#include <memory>
 #include <optional>
 #include <random>
 #include <utility>
@@ -17,27 +18,17 @@
 
 namespace asio = boost::asio;
 
-// A single check that finds missed evacuations replaces the watch, since each
-// collection has its turn every 3 s only on a VM without a watcher, and an
-// evacuation must be in force 5 s after the store has acknowledged it. A watch
-// that was replaced needlessly costs one call; evacuations change rarely.
-constexpr int max_silent_evacuation_checks = 1;
-// Part of the check interval after which the next collection has its turn if
-// there are three collections instead of two.
-constexpr double three_collections_factor = 2.0 / 3.0;
-
-// Collections in the order of their checks.
-enum class checked_collection
-{
-    targets,
-    releases,
-    evacuations
-};
-
 } // namespace
 
 class store_session::implementation
 {
+    // The calls of a check that are awaited, and the first error of the others.
+    struct check_results
+    {
+        int awaited_ = 0;
+        absl::Status status_;
+    };
+
 public:
     implementation(asio::io_context& context,
                    store_calls calls,
@@ -56,8 +47,7 @@
             evacuations_.emplace(context,
                                  "evacuations",
                                  calls_.evacuations_,
-                                 evacuation_observer(),
-                                 max_silent_evacuation_checks);
+                                 evacuation_observer());
         }
     }
 
@@ -143,6 +133,7 @@
         {
             record_response();
             observer_.on_releases_(objects);
+            report_current();
         };
         observer.on_changes_ =
             [this](const std::vector<object_change<release>>& changes)
@@ -157,6 +148,7 @@
                 }
             }
             observer_.on_releases_(objects);
+            report_current();
         };
         observer.on_failure_ = [this](const absl::Status& status)
         {
@@ -173,12 +165,14 @@
         {
             record_response();
             observer_.on_target_listing_(objects);
+            report_current();
         };
         observer.on_changes_ =
             [this](const std::vector<object_change<target_spec>>& changes)
         {
             record_response();
             observer_.on_target_changes_(changes);
+            report_current();
         };
         observer.on_failure_ = [this](const absl::Status& status)
         {
@@ -195,12 +189,14 @@
         {
             record_response();
             observer_.on_evacuation_listing_(objects);
+            report_current();
         };
         observer.on_changes_ =
             [this](const std::vector<object_change<evacuation_spec>>& changes)
         {
             record_response();
             observer_.on_evacuation_changes_(changes);
+            report_current();
         };
         observer.on_failure_ = [this](const absl::Status& status)
         {
@@ -219,7 +215,7 @@
         {
             evacuations_->start();
         }
-        schedule_check(check_interval());
+        schedule_check(intervals_.check_interval_);
     }
 
     void stop_feeds()
@@ -232,13 +228,6 @@
         }
     }
 
-    milliseconds check_interval() const
-    {
-        return evacuations_
-                   ? intervals_.check_interval_ * three_collections_factor
-                   : intervals_.check_interval_;
-    }
-
     void record_response()
     {
         record_answer();
@@ -260,6 +249,15 @@
         observer_.on_answer_();
     }
 
+    void report_current()
+    {
+        if (const auto at = current_at(); at > reported_current_at_)
+        {
+            reported_current_at_ = at;
+            observer_.on_current_();
+        }
+    }
+
     void fail(const absl::Status& status)
     {
         stop_feeds();
@@ -295,48 +293,64 @@
             });
     }
 
-    // Checks whether the store answers. While all collections are watched, the
-    // check also looks for changes that a watch has missed, in each collection
-    // in turn.
+    // Checks whether the store answers and, while all collections are followed,
+    // whether the watches have missed changes.
     void check()
     {
-        const auto done =
-            [this, generation = generation_](const absl::Status& status)
-        {
-            if (generation == generation_)
-            {
-                handle_check_result(status);
-            }
-        };
-        const auto timeout = check_timeout(failures_);
+        check_sent_at_ = monotonic_now();
+        const auto generation = generation_;
         if (store_unreachable_ || !is_synced())
         {
-            calls_.check_(timeout, done);
+            calls_.check_(check_timeout(failures_),
+                          [this, generation](const absl::Status& status)
+                          {
+                              if (generation == generation_)
+                              {
+                                  handle_check_result(status);
+                              }
+                          });
             return;
         }
-        switch (std::exchange(next_check_, collection_after(next_check_)))
-        {
-        case checked_collection::targets:
-            targets_.check(timeout, done);
-            break;
-        case checked_collection::releases:
-            releases_.check(timeout, done);
-            break;
-        case checked_collection::evacuations:
-            evacuations_->check(timeout, done);
-            break;
-        }
+        calls_.read_revision_(
+            check_timeout(failures_),
+            [this, generation](const absl::StatusOr<store_revision>& revision)
+            {
+                if (generation != generation_)
+                {
+                    return;
+                }
+                if (!revision.ok())
+                {
+                    handle_check_result(revision.status());
+                    return;
+                }
+                record_answer();
+                catch_up(*revision);
+            });
     }
 
-    checked_collection collection_after(checked_collection value) const
+    // Brings all collections up to the revision that the store had when it
+    // answered the check.
+    void catch_up(store_revision revision)
     {
-        if (value == checked_collection::targets)
+        const auto results = std::make_shared<check_results>();
+        results->awaited_ = evacuations_ ? 3 : 2;
+        const auto done = [this, results, generation = generation_](
+                              const absl::Status& status)
+        {
+            results->status_.Update(status);
+            if (--results->awaited_ == 0 && generation == generation_)
+            {
+                handle_check_result(results->status_);
+            }
+        };
+        const auto timeout = check_timeout(failures_);
+        releases_.catch_up(revision, check_sent_at_, timeout, done);
+        targets_.catch_up(revision, check_sent_at_, timeout, done);
+        if (evacuations_)
         {
-            return checked_collection::releases;
+            evacuations_->catch_up(revision, check_sent_at_, timeout, done);
         }
-        return value == checked_collection::releases && evacuations_
-                   ? checked_collection::evacuations
-                   : checked_collection::targets;
     }
 
     void handle_check_result(const absl::Status& status)
@@ -347,9 +361,12 @@
             return;
         }
         record_answer();
+        report_current();
         if (!store_unreachable_)
         {
-            schedule_check(check_interval());
+            const auto elapsed = monotonic_now() - check_sent_at_;
+            schedule_check(std::max(milliseconds(0.0),
+                                    intervals_.check_interval_ - elapsed));
             return;
         }
         if (failures_ == 0)
@@ -391,8 +408,8 @@
     int failures_ = 0;
     bool running_ = false;
     bool store_unreachable_ = false;
-    // The collection that the next check looks for missed changes in.
-    checked_collection next_check_ = checked_collection::targets;
+    milliseconds check_sent_at_;
+    milliseconds reported_current_at_;
 };
 
 store_session::store_session(asio::io_context& context,
--- a/modules/av_feed/store_session.hpp
+++ b/modules/av_feed/store_session.hpp
@@ -31,14 +31,15 @@
     // The store has answered. Called before the callback for what it has
     // answered.
     std::function<void()> on_answer_;
+    // The contents of all collections are known to be complete as of the time
+    // that current_at() returns, which has increased.
+    std::function<void()> on_current_;
 };
 
 // How often a session calls the store.
 struct store_call_intervals
 {
-    // Between two checks while the store answers; two thirds of it if
-    // evacuations are read, so that the checks for missed changes of the other
-    // collections are as frequent as without.
+    // From one check to the next while the store answers.
     milliseconds check_interval_;
     // Range of the time between two checks while the store does not answer,
     // before it is randomized.
@@ -78,8 +79,8 @@
     milliseconds answered_at() const;
 
     // Returns the latest time at which the known contents of all collections
-    // were certainly complete; zero if never. Unlike an answer of any kind, this
-    // shows that no change has been missed.
+    // were certainly complete; zero if never. Unlike an answer of any kind,
+    // this shows that no change has been missed.
     milliseconds current_at() const;
 
     // Returns whether all collections have been listed and no call has failed
--- a/modules/av_feed/tests/evacuations_test.cpp
+++ b/modules/av_feed/tests/evacuations_test.cpp
@@ -24,6 +24,7 @@
 using namespace anvilturn;
 using anvilturn::testing::running_context;
 using anvilturn::testing::scripted_store;
+using anvilturn::testing::unreachable_error;
 
 namespace
 {
@@ -45,9 +46,15 @@
         store_.put_release(3);
         store_.put("x");
         store_observer observer;
-        observer.on_releases_ = [](const auto&) {};
+        observer.on_releases_ = [this](const auto& objects)
+        {
+            releases_ += static_cast<int>(objects.size());
+        };
         observer.on_target_listing_ = [](const auto&) {};
-        observer.on_target_changes_ = [](const auto&) {};
+        observer.on_target_changes_ = [this](const auto& changes)
+        {
+            target_changes_ += static_cast<int>(changes.size());
+        };
         observer.on_evacuation_listing_ = [this](const auto& objects)
         {
             domains_ = domains_listed(objects);
@@ -57,6 +64,7 @@
             domains_ = domains_after_changes(domains_, changes);
         };
         observer.on_answer_ = [] {};
+        observer.on_current_ = [] {};
         session_ = std::make_unique<store_session>(
             context_, store_.calls(), std::move(observer), test_intervals);
         session_->start();
@@ -64,6 +72,8 @@
 
     scripted_store store_;
     names domains_;
+    int releases_ = 0;
+    int target_changes_ = 0;
     std::unique_ptr<store_session> session_;
 };
 
@@ -120,7 +130,7 @@
                   true,
                   [this]
                   {
-                      return store_response_age_;
+                      return contents_age_;
                   })
     {
         BOOST_TEST_REQUIRE(server_.start(address).ok());
@@ -133,7 +143,7 @@
         server_.publish_targets(registered, 10);
     }
 
-    milliseconds store_response_age_{5.0};
+    milliseconds contents_age_{5.0};
     registry_publisher server_;
 };
 
@@ -149,7 +159,7 @@
     fixture.run_until(
         [&]
         {
-            return fixture.store_.targets_.checks_ > 3;
+            return fixture.store_.checks_ > 3;
         });
     BOOST_TEST(fixture.store_.evacuations_.lists_ == 0);
     BOOST_TEST(fixture.store_.evacuations_.watches_ == 0);
@@ -157,9 +167,9 @@
     BOOST_TEST(fixture.domains_.empty());
 }
 
-// Guards against changes of one collection that are missed because it is never
-// checked.
-BOOST_AUTO_TEST_CASE(evacuations_are_listed_watched_and_checked_in_turn)
+// Guards against evacuations that are not followed, and against checks that ask
+// each collection for changes without need.
+BOOST_AUTO_TEST_CASE(evacuations_are_listed_and_watched)
 {
     session_fixture fixture(true);
     fixture.store_.evacuate("a");
@@ -179,14 +189,43 @@
     std::exchange(evacuations.pending_watch_, nullptr)(changes);
     BOOST_TEST((fixture.domains_ == names{"b"}));
     BOOST_TEST(fixture.session_->evacuation_revision() == 30U);
+    // The store has no further changes, so no collection is asked for any.
+    const int checks = fixture.store_.checks_;
     fixture.run_until(
         [&]
         {
-            return evacuations.checks_ >= 3;
+            return fixture.store_.checks_ >= checks + 3;
         });
-    const auto& store = fixture.store_;
-    BOOST_TEST(std::abs(store.targets_.checks_ - evacuations.checks_) <= 1);
-    BOOST_TEST(std::abs(store.releases_.checks_ - evacuations.checks_) <= 1);
+    BOOST_TEST(evacuations.checks_ == 0);
+}
+
+// Guards against changes of one collection that are missed because its watch is
+// silent and no check looks for them.
+BOOST_AUTO_TEST_CASE(changes_of_each_collection_are_found_by_checks)
+{
+    session_fixture fixture(true);
+    auto& store = fixture.store_;
+    fixture.run_until(
+        [&]
+        {
+            return store.evacuations_.pending_watch_ &&
+                   store.targets_.pending_watch_ &&
+                   store.releases_.pending_watch_;
+        });
+    for (int round = 1; round <= 3; ++round)
+    {
+        store.put("y" + std::to_string(round));
+        store.put_release(10U + static_cast<unsigned>(round));
+        store.evacuate("b" + std::to_string(round));
+        fixture.run_until(
+            [&]
+            {
+                return fixture.target_changes_ == round &&
+                       fixture.releases_ == round + 1 &&
+                       fixture.domains_.size() ==
+                           static_cast<std::size_t>(round);
+            });
+    }
 }
 
 // A watch whose connection is dead reports nothing, and an evacuation must be
@@ -201,14 +240,14 @@
             return evacuations.pending_watch_ != nullptr;
         });
     const auto checks = evacuations.checks_;
-    evacuations.has_changes_ = true;
+    fixture.store_.evacuate("b");
     fixture.run_until(
         [&]
         {
             return evacuations.watches_ == 2;
         });
-    // A check may have been answered before the changes were there.
-    BOOST_TEST(evacuations.checks_ <= checks + 2);
+    BOOST_TEST((fixture.domains_ == names{"b"}));
+    BOOST_TEST(evacuations.checks_ == checks + 1);
 }
 
 // A VM that starts during an evacuation must not send calls before it knows.
@@ -228,7 +267,8 @@
     BOOST_TEST(!vm.evacuations_known_);
     BOOST_TEST(!vm.control_->state().evacuated_domains_.has_value());
     vm.store_.evacuations_.silent_ = false;
-    vm.store_.fail_watches();
+    // The call's time limit has passed.
+    vm.store_.evacuations_.unanswered_list_(unreachable_error());
     vm.run_until(
         [&]
         {
@@ -298,7 +338,7 @@
         {
             return vm.targets_ == 1U;
         });
-    watcher.store_response_age_ = milliseconds(5000.0);
+    watcher.contents_age_ = milliseconds(5000.0);
     watcher.server_.publish_evacuations({"b"});
     vm.run_until(
         [&]
@@ -306,7 +346,7 @@
             return vm.control_->state().watcher_.empty();
         });
     BOOST_TEST(vm.domains_.empty());
-    watcher.store_response_age_ = milliseconds(5.0);
+    watcher.contents_age_ = milliseconds(5.0);
     vm.run_until(
         [&]
         {
--- a/modules/av_feed/tests/registry_control_test.cpp
+++ b/modules/av_feed/tests/registry_control_test.cpp
@@ -30,8 +30,8 @@
 {
 
 constexpr milliseconds no_expiry{1e9};
-constexpr milliseconds recent_response_age{5.0};
-constexpr milliseconds stale_response_age{5000.0};
+constexpr milliseconds recent_contents_age{5.0};
+constexpr milliseconds old_contents_age{5000.0};
 
 // A watcher with settable contents and age of the last store response.
 struct scripted_watcher
@@ -44,13 +44,13 @@
                   true,
                   [this]
                   {
-                      return store_response_age_;
+                      return contents_age_;
                   })
     {
-        server_.set_relayed_response_age(
+        server_.set_relayed_contents_age(
             [this]
             {
-                return std::min(store_response_age_, relayed_response_age_);
+                return std::min(contents_age_, relayed_contents_age_);
             });
         BOOST_TEST_REQUIRE(server_.start(address).ok());
     }
@@ -71,9 +71,9 @@
         server_.publish_targets(registered, revision);
     }
 
-    milliseconds store_response_age_ = recent_response_age;
+    milliseconds contents_age_ = recent_contents_age;
     // Time since the store answered a watcher that this one follows.
-    milliseconds relayed_response_age_ = stale_response_age;
+    milliseconds relayed_contents_age_ = old_contents_age;
     registry_publisher server_;
 };
 
@@ -109,8 +109,9 @@
     {
         standbys_ = update.standbys_.value_or(standbys_);
         version_ = update.release_ ? update.release_->version_ : version_;
-        store_response_age_ = update.store_response_age_;
+        contents_age_ = update.contents_age_;
         age_for_subscribers_ = age_for_subscribers(update);
+        answer_age_ = update.answer_age_.value_or(answer_age_);
         ++updates_;
         if (update.is_snapshot_)
         {
@@ -131,8 +132,9 @@
     std::set<std::string> targets_;
     release_version version_ = 0;
     int updates_ = 0;
-    milliseconds store_response_age_;
+    milliseconds contents_age_;
     milliseconds age_for_subscribers_;
+    milliseconds answer_age_{1e9};
     registry_subscriber client_;
 };
 
@@ -186,8 +188,8 @@
     // From now on no watcher reaches the store.
     void cut_watchers_off()
     {
-        local_watcher_.store_response_age_ = stale_response_age;
-        remote_watcher_.store_response_age_ = stale_response_age;
+        local_watcher_.contents_age_ = old_contents_age;
+        remote_watcher_.contents_age_ = old_contents_age;
     }
 
     void run_until_the_store_is_watched()
@@ -246,8 +248,8 @@
                    vm.remote_watcher_.server_.subscribers() == 0;
         });
     vm.store_.down_ = false;
-    vm.local_watcher_.store_response_age_ = recent_response_age;
-    vm.remote_watcher_.store_response_age_ = recent_response_age;
+    vm.local_watcher_.contents_age_ = recent_contents_age;
+    vm.remote_watcher_.contents_age_ = recent_contents_age;
     vm.run_until_subscribed_to(vm.local_watcher_);
     BOOST_TEST(vm.control_->state().watcher_losses_ == 1U);
     BOOST_TEST(vm.store_.targets_.lists_ == 0);
@@ -258,13 +260,13 @@
 {
     subscribed_vm vm;
     vm.run_until_subscribed_to(vm.local_watcher_);
-    vm.local_watcher_.store_response_age_ = stale_response_age;
+    vm.local_watcher_.contents_age_ = old_contents_age;
     vm.remote_watcher_.publish(4, {"x"}, 11);
     vm.run_until_subscribed_to(vm.remote_watcher_);
     BOOST_TEST(vm.control_->state().version_ == 4U);
     BOOST_TEST(vm.targets_.size() == 1U);
     vm.local_watcher_.publish(4, {"x"}, 12);
-    vm.local_watcher_.store_response_age_ = recent_response_age;
+    vm.local_watcher_.contents_age_ = recent_contents_age;
     vm.run_until_subscribed_to(vm.local_watcher_);
 }
 
@@ -289,7 +291,7 @@
     // The watcher's changes don't apply to what the VM has listed itself: it
     // gets a snapshot and drops the targets that are not in it.
     vm.local_watcher_.publish(5, {"w"}, 20);
-    vm.local_watcher_.store_response_age_ = recent_response_age;
+    vm.local_watcher_.contents_age_ = recent_contents_age;
     vm.run_until_subscribed_to(vm.local_watcher_);
     BOOST_TEST(vm.targets_.size() == 1U);
     BOOST_TEST(vm.targets_.count("w") == 1U);
@@ -352,8 +354,8 @@
     BOOST_TEST(vm.store_.targets_.lists_ == 0);
     // The watchers replace it when they reach the store again.
     vm.local_watcher_.publish(4, {"x"}, 12);
-    vm.local_watcher_.store_response_age_ = recent_response_age;
-    vm.remote_watcher_.store_response_age_ = recent_response_age;
+    vm.local_watcher_.contents_age_ = recent_contents_age;
+    vm.remote_watcher_.contents_age_ = recent_contents_age;
     vm.run_until(
         [&]
         {
@@ -381,7 +383,7 @@
     BOOST_TEST(other.standbys_.empty());
     // It stays with its watcher, which would appoint another standby otherwise,
     // even if another watcher reaches the store.
-    vm.remote_watcher_.store_response_age_ = recent_response_age;
+    vm.remote_watcher_.contents_age_ = recent_contents_age;
     const int watched = vm.store_.checks_;
     const int updates = other.updates_;
     vm.run_until_checked(watched + 6);
@@ -398,7 +400,7 @@
     vm.run_until_subscribed_to(vm.local_watcher_);
     vm.store_.down_ = true;
     vm.remote_watcher_.publish(4, {"x"}, 11);
-    vm.local_watcher_.store_response_age_ = stale_response_age;
+    vm.local_watcher_.contents_age_ = old_contents_age;
     vm.run_until_subscribed_to(vm.remote_watcher_);
     BOOST_TEST(vm.control_->state().version_ == 4U);
 }
@@ -428,8 +430,8 @@
         {
             return other.updates_ > 0;
         });
-    BOOST_TEST(other.store_response_age_.count() > 500.0);
-    BOOST_TEST((other.age_for_subscribers_ < max_store_response_age));
+    BOOST_TEST(other.contents_age_.count() > 500.0);
+    BOOST_TEST((other.age_for_subscribers_ < max_contents_age));
     vm.store_.down_ = false;
     vm.run_until(
         [&]
@@ -438,6 +440,40 @@
         });
 }
 
+// Guards against subscribers that follow a watcher whose contents grow old
+// while the store answers it, since nothing tells it of changes any more.
+BOOST_AUTO_TEST_CASE(a_watcher_that_learns_of_no_changes_uses_another_one)
+{
+    subscribed_vm vm(no_expiry, "127.0.30.13:28716", true);
+    vm.run_until_the_store_is_watched();
+    vm.store_.targets_.refuses_lists_ = true;
+    vm.store_.oldest_revision_ = 1000;
+    vm.store_.fail_watches();
+    vm.remote_watcher_.publish(4, {"x"}, 1000);
+    vm.run_until_subscribed_to(vm.remote_watcher_);
+    BOOST_TEST(vm.control_->state().version_ == 4U);
+    const auto state = vm.control_->state();
+    BOOST_TEST((state.current_at_ > milliseconds(0.0)));
+    plain_subscriber other(vm.context_, "127.0.30.13:28716");
+    other.subscribe("");
+    vm.run_until(
+        [&]
+        {
+            return other.updates_ > 0;
+        });
+    BOOST_TEST(other.contents_age_.count() > 500.0);
+    BOOST_TEST((other.age_for_subscribers_ < max_contents_age));
+    // The store answers all the while, so no target's entry can have expired.
+    BOOST_TEST((other.answer_age_ < max_contents_age));
+    vm.store_.targets_.refuses_lists_ = false;
+    vm.store_.oldest_revision_ = 0;
+    vm.run_until(
+        [&]
+        {
+            return vm.control_->state().watcher_.empty();
+        });
+}
+
 // A VM that the store turns away, as it does its watcher, would otherwise
 // search for other watchers until their backoff is over, and accept revoked
 // keys or call removed targets for as long.
@@ -448,7 +484,7 @@
     vm.store_.down_ = true;
     vm.cut_watchers_off();
     vm.run_until_checked(1);
-    vm.local_watcher_.relayed_response_age_ = recent_response_age;
+    vm.local_watcher_.relayed_contents_age_ = recent_contents_age;
     vm.run_until_subscribed_to(vm.local_watcher_);
     vm.local_watcher_.publish(4, {"x"}, 11);
     vm.run_until(
@@ -457,15 +493,15 @@
             return vm.control_->state().version_ == 4U;
         });
     // The age at the other watcher, and the time until its next heartbeat.
-    vm.local_watcher_.relayed_response_age_ =
-        max_store_response_age + replication_heartbeat_interval * 0.5;
+    vm.local_watcher_.relayed_contents_age_ =
+        max_contents_age + replication_heartbeat_interval * 0.5;
     vm.local_watcher_.publish(5, {"x"}, 12);
     vm.run_until(
         [&]
         {
             return vm.control_->state().version_ == 5U;
         });
-    BOOST_TEST((vm.local_watcher_.store_response_age_ == stale_response_age));
+    BOOST_TEST((vm.local_watcher_.contents_age_ == old_contents_age));
 }
 
 // Guards against watchers without the store that follow each other, and take
@@ -474,9 +510,9 @@
 {
     subscribed_vm vm(no_expiry, "127.0.30.13:28714", true);
     vm.run_until_the_store_is_watched();
-    vm.remote_watcher_.store_response_age_ = stale_response_age;
+    vm.remote_watcher_.contents_age_ = old_contents_age;
     // Not even if it follows a third one.
-    vm.remote_watcher_.relayed_response_age_ = recent_response_age;
+    vm.remote_watcher_.relayed_contents_age_ = recent_contents_age;
     vm.remote_watcher_.publish(4, {"x"}, 1000);
     vm.store_.down_ = true;
     const int checks = vm.store_.checks_;
@@ -497,7 +533,7 @@
     vm.local_watcher_.publish(3, {"y"}, 11);
     vm.run_until_checked(2);
     vm.local_watcher_.publish(3, {"y", "z"}, 12);
-    vm.local_watcher_.store_response_age_ = recent_response_age;
+    vm.local_watcher_.contents_age_ = recent_contents_age;
     vm.run_until_subscribed_to(vm.local_watcher_);
     BOOST_TEST(vm.targets_.size() == 2U);
     BOOST_TEST(vm.targets_.count("x") == 0U);
--- a/modules/av_feed/tests/scripted_store.hpp
+++ b/modules/av_feed/tests/scripted_store.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace anvilturn::testing
 {
@@ -30,13 +31,23 @@
     int lists_ = 0;
     int watches_ = 0;
     int checks_ = 0;
-    // Whether no call for the collection is answered.
+    // Whether lists are not answered, and the last one that was not.
     bool silent_ = false;
-    // Whether the store has changes that no watch has reported.
-    bool has_changes_ = false;
+    std::function<void(absl::StatusOr<listing_page<Value>>)> unanswered_list_;
+    // Whether lists are answered with an error status.
+    bool refuses_lists_ = false;
+    // All changes so far. Pending watches don't report them.
+    std::vector<object_change<Value>> events_;
 };
 
-// A store of releases and targets whose calls can be made to fail.
+// Returns the error of each scripted call that the store refuses.
+inline absl::Status refused_error()
+{
+    return make_error(error_kind::platform_refused, "scripted");
+}
+
+// A store of releases and targets whose calls can be made to fail. Pending
+// watches report nothing unless a test does so.
 class scripted_store
 {
 public:
@@ -55,6 +66,17 @@
         {
             result.evacuations_ = source(evacuations_);
         }
+        result.read_revision_ = [this](milliseconds, auto done)
+        {
+            ++checks_;
+            post_to_context(
+                [this, done]
+                {
+                    done(down_ ? absl::StatusOr<store_revision>(
+                                     unreachable_error())
+                               : revision_);
+                });
+        };
         result.check_ = [this](milliseconds, auto done)
         {
             ++checks_;
@@ -75,20 +97,27 @@
     {
         target_spec spec;
         spec.name_ = name;
-        targets_.objects_[name] = {name, ++revision_, spec, ""};
+        put(targets_, name, spec);
+    }
+
+    void remove(const std::string& name)
+    {
+        auto object = targets_.objects_.at(name);
+        object.revision_ = ++revision_;
+        targets_.objects_.erase(name);
+        targets_.events_.push_back({object, true, false});
     }
 
     void evacuate(const std::string& domain)
     {
-        evacuations_.objects_[domain] = {
-            domain, ++revision_, evacuation_spec(), ""};
+        put(evacuations_, domain, evacuation_spec());
     }
 
     void put_release(release_version version)
     {
         release value;
         value.version_ = version;
-        releases_.objects_["main"] = {"main", ++revision_, value, ""};
+        put(releases_, "main", value);
     }
 
     // Ends the pending watches with an error, as if the connections had failed.
@@ -118,6 +147,16 @@
     // Small, so that a listing takes several calls.
     static constexpr std::size_t page_size = 2;
 
+    template <typename Value>
+    void put(scripted_collection<Value>& collection,
+             const std::string& name,
+             const Value& value)
+    {
+        const listed_object<Value> object{name, ++revision_, value, ""};
+        collection.objects_[name] = object;
+        collection.events_.push_back({object, false, false});
+    }
+
     template <typename Work>
     void post_to_context(Work work)
     {
@@ -133,6 +172,7 @@
             ++collection.lists_;
             if (collection.silent_)
             {
+                collection.unanswered_list_ = done;
                 return;
             }
             post_to_context(
@@ -159,29 +199,52 @@
                     done(status);
                 });
         };
-        result.has_changes_ =
-            [this, &collection](store_revision, milliseconds, auto done)
+        result.read_changes_ =
+            [this, &collection](store_revision since, milliseconds, auto done)
         {
-            ++checks_;
             ++collection.checks_;
             post_to_context(
-                [this, &collection, done]
+                [this, &collection, since, done]
                 {
-                    done(down_ ? absl::StatusOr<bool>(unreachable_error())
-                               : collection.has_changes_);
+                    done(changes_since(collection, since));
                 });
         };
         return result;
     }
 
+    template <typename Value>
+    absl::StatusOr<object_changes<Value>>
+    changes_since(const scripted_collection<Value>& collection,
+                  store_revision since) const
+    {
+        if (down_)
+        {
+            return unreachable_error();
+        }
+        if (since < oldest_revision_)
+        {
+            return make_error(error_kind::platform_history_gone, "");
+        }
+        object_changes<Value> result;
+        result.revision_ = revision_;
+        for (const auto& event : collection.events_)
+        {
+            if (event.object_.revision_ > since)
+            {
+                result.changes_.push_back(event);
+            }
+        }
+        return result;
+    }
+
     template <typename Value>
     absl::StatusOr<listing_page<Value>>
     page(const scripted_collection<Value>& collection,
          const std::string& after) const
     {
-        if (down_)
+        if (down_ || collection.refuses_lists_)
         {
-            return unreachable_error();
+            return down_ ? unreachable_error() : refused_error();
         }
         listing_page<Value> result;
         result.revision_ = revision_;
--- a/modules/av_feed/tests/startup_test.cpp
+++ b/modules/av_feed/tests/startup_test.cpp
@@ -141,7 +141,7 @@
     starting_vm vm;
     const auto started_at = monotonic_now();
     registry_update status;
-    status.store_response_age_ = milliseconds(1e9);
+    status.contents_age_ = milliseconds(1e9);
     vm.frame_ = write_update(status);
     vm.reports_status_ = true;
     vm.send_parts_until(parts,
--- a/modules/av_feed/tests/store_session_test.cpp
+++ b/modules/av_feed/tests/store_session_test.cpp
@@ -66,6 +66,11 @@
             ++answers_;
             answered_ = true;
         };
+        observer.on_current_ = [this]
+        {
+            BOOST_TEST((session_->current_at() > current_at_));
+            current_at_ = session_->current_at();
+        };
         session_ = std::make_unique<store_session>(
             context_, store_.calls(), std::move(observer), test_intervals);
     }
@@ -87,6 +92,7 @@
     std::size_t changes_ = 0;
     std::size_t releases_ = 0;
     int answers_ = 0;
+    milliseconds current_at_;
     // Whether an answer was reported since the last contents: each of the
     // contents must follow the report of its own answer.
     bool answered_ = false;
@@ -137,8 +143,8 @@
     fixture.store_.fail_watches();
     fixture.run_until_synced();
     BOOST_TEST(fixture.listing_sizes_.back() == 6U);
-    // That of a check, then those of both listings.
-    BOOST_TEST(fixture.answers_ >= answers + 3);
+    // Those of both listings, which no check precedes.
+    BOOST_TEST(fixture.answers_ >= answers + 2);
 }
 
 BOOST_AUTO_TEST_CASE(an_outage_causes_check_calls_only)
@@ -178,9 +184,10 @@
     BOOST_TEST(fixture.session_->is_running());
 }
 
-// The connection of one watch is dead while new ones work, so that the checks
-// succeed.
-BOOST_AUTO_TEST_CASE(a_watch_that_misses_changes_is_replaced)
+// Guards against calls to targets that left, on a VM whose watch is silent: its
+// connection is dead while others work. The check that finds a change must
+// bring it, and not only open another watch.
+BOOST_AUTO_TEST_CASE(a_check_brings_what_a_silent_watch_misses)
 {
     session_fixture fixture;
     fixture.session_->start();
@@ -191,21 +198,106 @@
         {
             return fixture.store_.checks_ >= checks + 6;
         });
-    BOOST_TEST(fixture.store_.targets_.watches_ == 1);
-    fixture.store_.targets_.has_changes_ = true;
+    auto& targets = fixture.store_.targets_;
+    BOOST_TEST(targets.watches_ == 1);
+    BOOST_TEST(targets.checks_ == 0);
+    fixture.store_.remove("b");
+    fixture.run_until(
+        [&]
+        {
+            return fixture.changes_ == 1;
+        });
+    BOOST_TEST(targets.checks_ == 1);
+    // The watch is replaced, and a late report of the old one changes nothing.
+    const auto old_watch = targets.pending_watch_;
     fixture.run_until(
         [&]
         {
-            return fixture.store_.targets_.watches_ == 2;
+            return targets.watches_ == 2;
         });
-    fixture.store_.targets_.has_changes_ = false;
     BOOST_TEST(fixture.store_.releases_.watches_ == 1);
-    BOOST_TEST(fixture.store_.targets_.lists_ == 3);
+    BOOST_TEST(targets.lists_ == 3);
     object_changes<target_spec> changes;
     changes.revision_ = 90;
     changes.changes_.resize(1);
-    std::exchange(fixture.store_.targets_.pending_watch_, nullptr)(changes);
+    old_watch(changes);
     BOOST_TEST(fixture.changes_ == 1U);
+    std::exchange(targets.pending_watch_, nullptr)(changes);
+    BOOST_TEST(fixture.changes_ == 2U);
+}
+
+// Guards against an age of the contents that stays small while they grow old:
+// answers of the store that say nothing of a collection prove nothing about it.
+BOOST_AUTO_TEST_CASE(answers_of_other_kinds_don_t_make_contents_current)
+{
+    session_fixture fixture;
+    fixture.session_->start();
+    fixture.run_until_synced();
+    fixture.store_.targets_.refuses_lists_ = true;
+    fixture.store_.oldest_revision_ = 1000; // Nor are changes to be had.
+    fixture.store_.fail_watches();
+    const auto run_for_answers = [&](int count)
+    {
+        const int answers = fixture.answers_;
+        fixture.run_until(
+            [&]
+            {
+                return fixture.answers_ >= answers + count;
+            });
+    };
+    // Those of the other collection, and of the first checks.
+    run_for_answers(3);
+    const auto current_at = fixture.session_->current_at();
+    run_for_answers(10);
+    BOOST_TEST((fixture.session_->current_at() == current_at));
+    fixture.store_.targets_.refuses_lists_ = false;
+    fixture.store_.oldest_revision_ = 0;
+    fixture.run_until_synced();
+    BOOST_TEST((fixture.session_->current_at() > current_at));
+}
+
+// Guards against contents that grow old although the store tells of all
+// changes: it refuses lists, or one that a cut watch causes.
+BOOST_AUTO_TEST_CASE(changes_are_read_while_lists_are_refused)
+{
+    session_fixture fixture;
+    fixture.session_->start();
+    fixture.run_until_synced();
+    fixture.store_.targets_.refuses_lists_ = true;
+    fixture.store_.fail_watches();
+    fixture.store_.remove("b");
+    fixture.run_until(
+        [&]
+        {
+            return fixture.changes_ == 1;
+        });
+    fixture.store_.remove("c");
+    const auto current_at = fixture.session_->current_at();
+    fixture.run_until(
+        [&]
+        {
+            return fixture.changes_ == 2;
+        });
+    BOOST_TEST((fixture.session_->current_at() > current_at));
+    BOOST_TEST(fixture.listing_sizes_.size() == 1U);
+    BOOST_TEST(fixture.session_->is_synced());
+}
+
+// Guards against a cut watch that is taken for an outage of the store, after
+// which a VM without a watcher waits for seconds before it lists again.
+BOOST_AUTO_TEST_CASE(a_watch_that_is_cut_causes_a_listing_at_once)
+{
+    session_fixture fixture;
+    fixture.session_->set_intervals({milliseconds(1e6),
+                                     milliseconds(1e6),
+                                     milliseconds(1e6),
+                                     milliseconds(1e6)});
+    fixture.session_->start();
+    fixture.run_until_synced();
+    fixture.store_.put("f");
+    fixture.store_.fail_watches();
+    fixture.run_until_synced();
+    BOOST_TEST(fixture.listing_sizes_.back() == 6U);
 }
 
 // The event loop goes on after an unexpected error, and so must the session: a
--- a/modules/av_feed/watcher_fallback.cpp
+++ b/modules/av_feed/watcher_fallback.cpp
@@ -17,16 +17,15 @@
 
 } // namespace
 
-watcher_fallback::watcher_fallback(
-    boost::asio::io_context& context,
-    const service_spec& service_defaults,
-    std::vector<std::string> other_watchers,
-    std::function<milliseconds()> store_response_age,
-    update_handler on_update)
+watcher_fallback::watcher_fallback(boost::asio::io_context& context,
+                                   const service_spec& service_defaults,
+                                   std::vector<std::string> other_watchers,
+                                   std::function<milliseconds()> contents_age,
+                                   update_handler on_update)
     : context_(context)
     , service_defaults_(service_defaults)
     , watchers_(std::move(other_watchers))
-    , store_response_age_(std::move(store_response_age))
+    , contents_age_(std::move(contents_age))
     , on_update_(std::move(on_update))
     , timer_(context)
 {
@@ -40,7 +39,7 @@
     }
 }
 
-void watcher_fallback::record_answer()
+void watcher_fallback::record_current()
 {
     client_.reset();
     receives_updates_ = false;
@@ -63,7 +62,7 @@
 
 void watcher_fallback::check()
 {
-    if (client_ == nullptr && store_response_age_() > fallback_age)
+    if (client_ == nullptr && contents_age_() > fallback_age)
     {
         subscribe(true);
     }
@@ -94,8 +93,7 @@
 
 bool watcher_fallback::handle_update(const registry_update& update)
 {
-    const bool store_reachable =
-        update.store_response_age_ <= max_store_response_age;
+    const bool store_reachable = update.contents_age_ <= max_contents_age;
     if (is_status_query_)
     {
         may_subscribe_ = store_reachable;
--- a/modules/av_feed/watcher_fallback.hpp
+++ b/modules/av_feed/watcher_fallback.hpp
@@ -20,9 +20,10 @@
 namespace anvilturn
 {
 
-// Lets a watcher that the store does not answer get updates from another
-// watcher, which may reach it. Ends when the store answers again. Runs on the
-// thread of the io_context only.
+// Lets a watcher whose contents grow old, because the store does not answer it
+// or does not tell it of changes, get updates from another watcher. Ends when
+// it knows the contents from the store again. Runs on the thread of the
+// io_context only.
 class watcher_fallback
 {
 public:
@@ -33,13 +34,13 @@
     watcher_fallback(boost::asio::io_context& context,
                      const service_spec& service_defaults,
                      std::vector<std::string> other_watchers,
-                     std::function<milliseconds()> store_response_age,
+                     std::function<milliseconds()> contents_age,
                      update_handler on_update);
 
-    // Begins to observe the age of the store's last response.
+    // Begins to observe the age of the contents.
     void start();
-    // The store has answered this VM.
-    void record_answer();
+    // This VM knows the contents from the store.
+    void record_current();
 
     // Returns the watcher that sends updates; empty if there is none.
     std::string watcher() const;
@@ -54,7 +55,7 @@
     boost::asio::io_context& context_;
     const service_spec service_defaults_;
     const std::vector<std::string> watchers_;
-    const std::function<milliseconds()> store_response_age_;
+    const std::function<milliseconds()> contents_age_;
     const update_handler on_update_;
     callback_timer timer_;
     // Index of the watcher that is queried or subscribed to.
--- a/modules/av_feed/watcher_subscription.cpp
+++ b/modules/av_feed/watcher_subscription.cpp
@@ -17,14 +17,14 @@
 constexpr milliseconds watcher_search_interval{500.0};
 constexpr milliseconds watcher_search_interval_at_startup{50.0};
 
-// Returns the age of the store's last response by which a watcher is judged.
-// One that is relayed is older by up to a heartbeat interval than the watcher
+// Returns the age of the contents by which a watcher is judged. One that is
+// relayed is older by up to a heartbeat interval than the watcher
 // that got it has reported; without this margin subscribers would leave a
 // watcher that still follows another one.
 milliseconds contact_age(const registry_update& update)
 {
     const auto age = age_for_subscribers(update);
-    const bool is_relayed = age < update.store_response_age_;
+    const bool is_relayed = age < update.contents_age_;
     return is_relayed ? std::max(milliseconds(0.0),
                                  age - replication_heartbeat_interval)
                       : age;
@@ -91,10 +91,13 @@
 }
 
 void watcher_subscription::apply(const registry_update& update,
-                                 milliseconds response_age,
+                                 milliseconds contents_age,
                                  milliseconds now)
 {
-    watcher_answered_at_ = now - update.transfer_time_ - response_age;
+    const auto composed_at = now - update.transfer_time_;
+    watcher_current_at_ = composed_at - contents_age;
+    watcher_answered_at_ =
+        composed_at - update.answer_age_.value_or(contents_age);
     replica_.record_answer(watcher_answered_at_);
     needs_snapshot_ = needs_snapshot_ && !update.is_snapshot_;
     position_.epoch_ = update.epoch_;
@@ -124,6 +127,11 @@
     return std::max(watcher_answered_at_, store_.answered_at());
 }
 
+milliseconds watcher_subscription::current_at() const
+{
+    return std::max(watcher_current_at_, store_.current_at());
+}
+
 std::uint64_t watcher_subscription::losses() const
 {
     return losses_;
@@ -173,7 +181,7 @@
     auto& watcher = watchers_[*watcher_];
     const auto now = monotonic_now();
     const auto age = contact_age(update);
-    const bool store_reachable = age <= max_store_response_age;
+    const bool store_reachable = age <= max_contents_age;
     watcher.failure_domain_ = update.failure_domain_;
     record_watcher_status(watcher, store_reachable, is_status_query_, now);
     if (is_status_query_)
@@ -258,7 +266,7 @@
     // A standby that left would be replaced by another VM, which would have
     // to read the store anew.
     const bool serves_others =
-        fallback_.is_standby() && now - answered_at() <= max_store_response_age;
+        fallback_.is_standby() && now - current_at() <= max_contents_age;
     if (serves_others || should_keep_watcher(watchers_, *watcher_, now))
     {
         return true;
@@ -292,6 +300,7 @@
         .field("address", watchers_[*watcher_].address_)
         .field("reason", reason)
         .field("store_answered_ago_ms", (now - watcher_answered_at_).count())
+        .field("contents_age_ms", (now - watcher_current_at_).count())
         .write();
     fallback_.record_update_loss();
 }
--- a/modules/av_feed/watcher_subscription.hpp
+++ b/modules/av_feed/watcher_subscription.hpp
@@ -46,14 +46,14 @@
     void subscribe();
 
     // Applies an update that was found to be usable, also one that did not come
-    // from the subscription. The age is that of the store's last response when
-    // the update was composed.
+    // from the subscription. The age is that of the watcher's contents when the
+    // update was composed.
     void apply(const registry_update& update,
-               milliseconds response_age,
+               milliseconds contents_age,
                milliseconds now);
 
-    // The targets were replaced by a listing of the store. Changes from a
-    // watcher can't be applied to it, only to a snapshot from the same watcher.
+    // The targets were read from the store. Changes from a watcher can't be
+    // applied to them, only to a snapshot from the same watcher.
     void discard_position();
 
     // Returns whether a watcher sends usable updates to this VM.
@@ -64,6 +64,9 @@
     // Returns when the store last answered this VM or its watcher; zero if
     // never.
     milliseconds answered_at() const;
+    // Returns the latest time at which the contents that this VM has read or
+    // got from a watcher were certainly complete; zero if never.
+    milliseconds current_at() const;
     // Returns how often updates from a watcher have ended.
     std::uint64_t losses() const;
     // Returns whether the first message with contents is arriving.
@@ -99,8 +102,10 @@
     std::vector<watcher_record> watchers_;
     std::minstd_rand random_;
     callback_timer search_timer_;
-    // When the store last answered a watcher, by the watcher's report.
+    // When the store last answered a watcher, and when the watcher's contents
+    // were certainly complete, by its report.
     milliseconds watcher_answered_at_;
+    milliseconds watcher_current_at_;
     std::uint64_t losses_ = 0;
     std::optional<std::size_t> watcher_;
     replication_position position_;
--- a/modules/av_replication/mirror.capnp
+++ b/modules/av_replication/mirror.capnp
@@ -95,7 +95,8 @@
   # Whether this is a snapshot, which lists all existing targets instead of the
   # changed ones.
   whole @2 :Bool;
-  # Time since the store last answered the watcher.
+  # Time since the contents that the watcher has read from the store were
+  # certainly complete.
   storeSilentMs @3 :UInt32;
   targets @4 :List(RegisteredTarget);
   # Present only if it is newer than the release of the subscriber.
@@ -112,8 +113,10 @@
   # them in its first message to a subscriber and when they change.
   namesEvacuations @10 :Bool;
   evacuatedDomains @11 :List(Text);
-  # Time since the store last answered the watcher, or another one that it
-  # follows while the store doesn't answer it. Negative if the watcher doesn't
-  # report it.
+  # The same of the contents that it has read or got from another watcher.
+  # Negative if the watcher doesn't report it.
   relayedSilentMs @12 :Int64 = -1;
+  # Time since the store last answered the watcher or another one that it
+  # follows, whatever it answered. Negative if the watcher doesn't report it.
+  answeredAgoMs @13 :Int64 = -1;
 }
--- a/modules/av_replication/mirror.capnp.h
+++ b/modules/av_replication/mirror.capnp.h
@@ -144,7 +144,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(971515f098bbaeb6, 5, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(971515f098bbaeb6, 6, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1031,6 +1031,8 @@
 
   inline  ::int64_t getRelayedSilentMs() const;
 
+  inline  ::int64_t getAnsweredAgoMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1120,6 +1122,9 @@
   inline  ::int64_t getRelayedSilentMs();
   inline void setRelayedSilentMs( ::int64_t value);
 
+  inline  ::int64_t getAnsweredAgoMs();
+  inline void setAnsweredAgoMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2500,6 +2505,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
+inline  ::int64_t Update::Reader::getAnsweredAgoMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Update::Builder::getAnsweredAgoMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Update::Builder::setAnsweredAgoMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 }  // namespace
 }  // namespace
 
--- a/modules/av_replication/registry_publisher.cpp
+++ b/modules/av_replication/registry_publisher.cpp
@@ -37,10 +37,10 @@
     implementation(asio::io_context& context,
                    const std::string& failure_domain,
                    bool appoints_standbys,
-                   std::function<milliseconds()> store_response_age)
+                   std::function<milliseconds()> contents_age)
         : context_(context)
         , appoints_standbys_(appoints_standbys)
-        , composer_(failure_domain, std::move(store_response_age))
+        , composer_(failure_domain, std::move(contents_age))
         , acceptor_(context)
         , timer_(context)
     {
@@ -92,9 +92,14 @@
         notify(before);
     }
 
-    void set_relayed_response_age(std::function<milliseconds()> age)
+    void set_relayed_contents_age(std::function<milliseconds()> age)
     {
-        composer_.set_relayed_response_age(std::move(age));
+        composer_.set_relayed_contents_age(std::move(age));
+    }
+
+    void set_answer_age(std::function<milliseconds()> age)
+    {
+        composer_.set_answer_age(std::move(age));
     }
 
     void require_evacuations()
@@ -266,12 +271,9 @@
     asio::io_context& context,
     const std::string& failure_domain,
     bool appoints_standbys,
-    std::function<milliseconds()> store_response_age)
-    : implementation_(
-          std::make_shared<implementation>(context,
-                                           failure_domain,
-                                           appoints_standbys,
-                                           std::move(store_response_age)))
+    std::function<milliseconds()> contents_age)
+    : implementation_(std::make_shared<implementation>(
+          context, failure_domain, appoints_standbys, std::move(contents_age)))
 {
 }
 
@@ -297,10 +299,15 @@
     implementation_->publish_release(std::move(value));
 }
 
-void registry_publisher::set_relayed_response_age(
+void registry_publisher::set_relayed_contents_age(
     std::function<milliseconds()> age)
 {
-    implementation_->set_relayed_response_age(std::move(age));
+    implementation_->set_relayed_contents_age(std::move(age));
+}
+
+void registry_publisher::set_answer_age(std::function<milliseconds()> age)
+{
+    implementation_->set_answer_age(std::move(age));
 }
 
 void registry_publisher::require_evacuations()
--- a/modules/av_replication/registry_publisher.hpp
+++ b/modules/av_replication/registry_publisher.hpp
@@ -30,12 +30,13 @@
 {
 public:
     // The failure domain is that of this VM. The function returns the time
-    // since the store last answered. A publisher that appoints standbys names
-    // them to its subscribers.
+    // since the contents that this VM reads from the store were certainly
+    // complete. A publisher that appoints standbys names them to its
+    // subscribers.
     registry_publisher(boost::asio::io_context& context,
                        const std::string& failure_domain,
                        bool appoints_standbys,
-                       std::function<milliseconds()> store_response_age);
+                       std::function<milliseconds()> contents_age);
     ~registry_publisher();
     registry_publisher(const registry_publisher&) = delete;
     registry_publisher& operator=(const registry_publisher&) = delete;
@@ -44,10 +45,13 @@
     // can't be used.
     absl::Status start(const std::string& address);
 
+    // The function returns the time since the contents that this VM has read
+    // or got from a watcher were certainly complete, on which subscribers rely.
+    // Called before start(), if at all.
+    void set_relayed_contents_age(std::function<milliseconds()> age);
     // The function returns the time since the store last answered this VM or a
-    // watcher that it follows, on which subscribers rely. Called before
-    // start(), if at all.
-    void set_relayed_response_age(std::function<milliseconds()> age);
+    // watcher that it follows. Called before start(), if at all.
+    void set_answer_age(std::function<milliseconds()> age);
 
     // Subscribers get contents only once the evacuations were published too.
     // Called before start(), if at all.
--- a/modules/av_replication/registry_update.hpp
+++ b/modules/av_replication/registry_update.hpp
@@ -44,13 +44,17 @@
     std::string failure_domain_;
     // Revision of the store up to which the watcher knows the targets.
     store_revision store_revision_ = 0;
-    // Time since the store last answered the watcher, when it composed the
-    // message.
-    milliseconds store_response_age_;
+    // Time since the contents that the watcher has read from the store were
+    // certainly complete, when it composed the message.
+    milliseconds contents_age_;
+    // The same of the contents that it has read or got from another watcher;
+    // nothing if it doesn't report that. Watchers ignore it, so that they don't
+    // follow each other in a circle.
+    std::optional<milliseconds> relayed_contents_age_;
     // Time since the store last answered the watcher or another one that it
-    // follows; nothing if it doesn't report that. Watchers ignore it, so that
-    // they don't follow each other in a circle.
-    std::optional<milliseconds> relayed_response_age_;
+    // follows, whatever it answered; nothing if it doesn't report that. Tells
+    // an outage of the store from contents that grow old.
+    std::optional<milliseconds> answer_age_;
     // How long the message took to arrive; zero at the watcher.
     milliseconds transfer_time_;
     std::vector<target_change> changes_;
@@ -67,11 +71,11 @@
     std::optional<std::set<std::string>> evacuated_domains_;
 };
 
-// Returns the response age on which subscribers rely: the relayed one if the
-// watcher reports it, otherwise the watcher's own.
+// Returns the age of the contents on which subscribers rely: the relayed one if
+// the watcher reports it, otherwise that of the watcher's own.
 inline milliseconds age_for_subscribers(const registry_update& update)
 {
-    return update.relayed_response_age_.value_or(update.store_response_age_);
+    return update.relayed_contents_age_.value_or(update.contents_age_);
 }
 
 } // namespace anvilturn
--- a/modules/av_replication/replication_timing.hpp
+++ b/modules/av_replication/replication_timing.hpp
@@ -13,9 +13,8 @@
 // Changes must reach all VMs within two seconds even if a watcher freezes.
 constexpr milliseconds watcher_timeout{900.0};
 
-// Updates are ignored if the store's last response to the watcher is older,
-// since they may be outdated.
-constexpr milliseconds max_store_response_age{1000.0};
+// Updates are ignored if the watcher's contents are older.
+constexpr milliseconds max_contents_age{1000.0};
 
 // Time limit for connecting to a watcher. It can be short because the operating
 // system completes the TCP handshake without the watcher's process, in one
--- a/modules/av_replication/tests/replication_test.cpp
+++ b/modules/av_replication/tests/replication_test.cpp
@@ -263,7 +263,7 @@
             return !vms.updates_.empty();
         });
     BOOST_TEST(vms.updates_[0].epoch_ == 0U);
-    BOOST_TEST((vms.updates_[0].store_response_age_ > max_store_response_age));
+    BOOST_TEST((vms.updates_[0].contents_age_ > max_contents_age));
     vms.server_.publish_release(make_release(3));
     vms.server_.publish_targets({{"a", target("a", 7)}}, 7);
     vms.run_until(
@@ -275,7 +275,7 @@
     BOOST_TEST(vms.updates_.back().changes_.size() == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(a_status_query_returns_domain_and_store_response_age_only)
+BOOST_AUTO_TEST_CASE(a_status_query_returns_domain_and_contents_age_only)
 {
     publisher_and_subscriber vms;
     vms.server_.publish_release(make_release(3));
@@ -289,7 +289,7 @@
             return !vms.updates_.empty();
         });
     BOOST_TEST(vms.updates_[0].failure_domain_ == "a");
-    BOOST_TEST((vms.updates_[0].store_response_age_ == milliseconds(5.0)));
+    BOOST_TEST((vms.updates_[0].contents_age_ == milliseconds(5.0)));
     BOOST_TEST(vms.updates_[0].epoch_ == 0U);
     BOOST_TEST((vms.updates_[0].release_ == nullptr));
 }
--- a/modules/av_replication/tests/slow_link_test.cpp
+++ b/modules/av_replication/tests/slow_link_test.cpp
@@ -185,7 +185,7 @@
     const auto next = subscriber.update();
     BOOST_TEST(!next.is_snapshot_);
     BOOST_TEST(next.changes_.size() == static_cast<std::size_t>(change_count));
-    BOOST_TEST(next.store_response_age_.count() > age_at_last_change);
+    BOOST_TEST(next.contents_age_.count() > age_at_last_change);
 }
 
 BOOST_AUTO_TEST_CASE(subscribers_share_a_snapshot)
--- a/modules/av_replication/tests/update_codec_test.cpp
+++ b/modules/av_replication/tests/update_codec_test.cpp
@@ -71,13 +71,13 @@
     the_age_for_subscribers_is_the_watchers_own_unless_reported)
 {
     registry_update update;
-    update.store_response_age_ = milliseconds(5000.0);
+    update.contents_age_ = milliseconds(5000.0);
     BOOST_TEST((age_for_subscribers(decode(write_update(update))) ==
                 milliseconds(5000.0)));
-    update.relayed_response_age_ = milliseconds(7.0);
+    update.relayed_contents_age_ = milliseconds(7.0);
     const auto received = decode(write_update(update));
     BOOST_TEST((age_for_subscribers(received) == milliseconds(7.0)));
-    BOOST_TEST((received.store_response_age_ == milliseconds(5000.0)));
+    BOOST_TEST((received.contents_age_ == milliseconds(5000.0)));
 }
 
 // During an update of the VMs a watcher of an earlier version leaves accounts
--- a/modules/av_replication/update_codec.cpp
+++ b/modules/av_replication/update_codec.cpp
@@ -229,6 +229,14 @@
     return static_cast<std::uint32_t>(std::clamp(time.count(), 0.0, most));
 }
 
+// Returns nothing for a negative number, which stands for an unknown age.
+std::optional<milliseconds> read_age(std::int64_t milliseconds_ago)
+{
+    return milliseconds_ago < 0 ? std::nullopt
+                                : std::optional<milliseconds>(
+                                      static_cast<double>(milliseconds_ago));
+}
+
 } // namespace
 
 std::string write_subscription(const replication_position& position)
@@ -252,10 +260,14 @@
     builder.setWhole(update.is_snapshot_);
     builder.setFailureDomain(to_text(update.failure_domain_));
     builder.setStoreRevision(update.store_revision_);
-    builder.setStoreSilentMs(to_whole_ms(update.store_response_age_));
-    if (update.relayed_response_age_)
+    builder.setStoreSilentMs(to_whole_ms(update.contents_age_));
+    if (update.relayed_contents_age_)
     {
-        builder.setRelayedSilentMs(to_whole_ms(*update.relayed_response_age_));
+        builder.setRelayedSilentMs(to_whole_ms(*update.relayed_contents_age_));
+    }
+    if (update.answer_age_)
+    {
+        builder.setAnsweredAgoMs(to_whole_ms(*update.answer_age_));
     }
     auto targets =
         builder.initTargets(static_cast<unsigned>(update.changes_.size()));
@@ -318,13 +330,10 @@
             update.is_snapshot_ = reader.getWhole();
             update.failure_domain_ = to_string(reader.getFailureDomain());
             update.store_revision_ = reader.getStoreRevision();
-            update.store_response_age_ =
-                milliseconds(reader.getStoreSilentMs());
-            if (const auto age = reader.getRelayedSilentMs(); age >= 0)
-            {
-                update.relayed_response_age_ =
-                    milliseconds(static_cast<double>(age));
-            }
+            update.contents_age_ = milliseconds(reader.getStoreSilentMs());
+            update.relayed_contents_age_ =
+                read_age(reader.getRelayedSilentMs());
+            update.answer_age_ = read_age(reader.getAnsweredAgoMs());
             for (const auto target : reader.getTargets())
             {
                 update.changes_.push_back(read_change(target));
--- a/modules/av_replication/update_composer.cpp
+++ b/modules/av_replication/update_composer.cpp
@@ -15,9 +15,9 @@
 // Composing a snapshot takes long with many targets, and many VMs request one
 // at the same time when they start or lose their watcher.
 constexpr milliseconds snapshot_lifetime{100.0};
-// Reported as the age of the store's last response while the store's contents
-// are not completely known, so that subscribers don't rely on this watcher.
-constexpr milliseconds no_store_response_age{1e9};
+// Reported while the store's contents are not completely known, so that
+// subscribers don't rely on this watcher.
+constexpr milliseconds unknown_contents_age{1e9};
 constexpr milliseconds no_delay{0.0};
 
 std::uint64_t random_epoch()
@@ -28,19 +28,23 @@
 
 } // namespace
 
-update_composer::update_composer(
-    std::string failure_domain,
-    std::function<milliseconds()> store_response_age)
-    : measure_store_response_age_(std::move(store_response_age))
+update_composer::update_composer(std::string failure_domain,
+                                 std::function<milliseconds()> contents_age)
+    : measure_contents_age_(std::move(contents_age))
 {
     log_.epoch_ = random_epoch();
     log_.failure_domain_ = std::move(failure_domain);
 }
 
-void update_composer::set_relayed_response_age(
+void update_composer::set_relayed_contents_age(
     std::function<milliseconds()> age)
 {
-    measure_relayed_response_age_ = std::move(age);
+    measure_relayed_contents_age_ = std::move(age);
+}
+
+void update_composer::set_answer_age(std::function<milliseconds()> age)
+{
+    measure_answer_age_ = std::move(age);
 }
 
 void update_composer::set_targets(
@@ -128,11 +132,11 @@
     update.failure_domain_ = log_.failure_domain_;
     if (has_complete_state())
     {
-        set_response_ages(update, no_delay);
+        set_ages(update, no_delay);
     }
     else
     {
-        update.store_response_age_ = no_store_response_age;
+        update.contents_age_ = unknown_contents_age;
     }
     return std::make_shared<const std::string>(write_update(update));
 }
@@ -151,17 +155,21 @@
 shared_frame update_composer::encode(registry_update update,
                                      milliseconds delay) const
 {
-    set_response_ages(update, delay);
+    set_ages(update, delay);
     return std::make_shared<const std::string>(write_update(update));
 }
 
-void update_composer::set_response_ages(registry_update& update,
-                                        milliseconds delay) const
+void update_composer::set_ages(registry_update& update,
+                               milliseconds delay) const
 {
-    update.store_response_age_ = measure_store_response_age_() + delay;
-    if (measure_relayed_response_age_)
+    update.contents_age_ = measure_contents_age_() + delay;
+    if (measure_relayed_contents_age_)
+    {
+        update.relayed_contents_age_ = measure_relayed_contents_age_() + delay;
+    }
+    if (measure_answer_age_)
     {
-        update.relayed_response_age_ = measure_relayed_response_age_() + delay;
+        update.answer_age_ = measure_answer_age_() + delay;
     }
 }
 
--- a/modules/av_replication/update_composer.hpp
+++ b/modules/av_replication/update_composer.hpp
@@ -27,13 +27,18 @@
 {
 public:
     // The failure domain is that of this VM. The function returns the time
-    // since the store last answered.
+    // since the contents that this VM reads from the store were certainly
+    // complete.
     update_composer(std::string failure_domain,
-                    std::function<milliseconds()> store_response_age);
+                    std::function<milliseconds()> contents_age);
 
+    // The function returns the time since the contents that this VM has read
+    // or got from a watcher were certainly complete. Not reported, if this is
+    // not called.
+    void set_relayed_contents_age(std::function<milliseconds()> age);
     // The function returns the time since the store last answered this VM or a
     // watcher that it follows. Not reported, if this is not called.
-    void set_relayed_response_age(std::function<milliseconds()> age);
+    void set_answer_age(std::function<milliseconds()> age);
 
     void set_targets(const std::map<std::string, registered_target>& targets,
                      store_revision revision);
@@ -66,8 +71,8 @@
     // old.
     shared_frame first_update_since(const replication_position& since);
 
-    // Returns a message with this VM's failure domain and the age of the
-    // store's last response, without contents.
+    // Returns a message with this VM's failure domain and the ages, without
+    // contents.
     shared_frame status_report() const;
 
 private:
@@ -81,11 +86,12 @@
                                       milliseconds delay) const;
     shared_frame encode(registry_update update, milliseconds delay) const;
 
-    // Sets both ages of the store's last response, as of the end of the delay.
-    void set_response_ages(registry_update& update, milliseconds delay) const;
+    // Sets the ages as of the end of the delay.
+    void set_ages(registry_update& update, milliseconds delay) const;
 
-    const std::function<milliseconds()> measure_store_response_age_;
-    std::function<milliseconds()> measure_relayed_response_age_;
+    const std::function<milliseconds()> measure_contents_age_;
+    std::function<milliseconds()> measure_relayed_contents_age_;
+    std::function<milliseconds()> measure_answer_age_;
     registry_log log_;
     std::optional<std::vector<std::string>> standbys_;
     bool requires_evacuations_ = false;
