Report the revision up to which a watcher's targets are current

Cause: a watcher reported the revision of the last change of a target. A VM that had read the store itself knows a later one if anything else has changed since, such as the configuration, and refused every watcher as outdated until the next change of a target, with a longer backoff each time. Change: a watcher reports the revision up to which its last check has shown that no target changed. Result: a_watcher_reports_the_revision_up_to_which_it_is_current failed without the change (never reported) and passes.

--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -172,6 +172,7 @@
         result.on_current_ = [this]
         {
             watcher_fallback_.record_current();
+            replica_.record_revision(store_.target_revision());
         };
         return result;
     }
--- a/modules/av_feed/store_replica.cpp
+++ b/modules/av_feed/store_replica.cpp
@@ -49,6 +49,15 @@
     record_store_answer(registry_, answered_at);
 }
 
+void store_replica::record_revision(store_revision revision)
+{
+    if (has_targets_ && revision > revision_)
+    {
+        revision_ = revision;
+        publish_to_subscribers();
+    }
+}
+
 void store_replica::apply_release(std::shared_ptr<const release> value)
 {
     if (value->version_ <= version())
@@ -138,10 +147,9 @@
     {
         apply_changes(update.changes_, update.store_revision_);
     }
-    else if (update.store_revision_ > revision_)
+    else
     {
-        revision_ = update.store_revision_;
-        publish_to_subscribers();
+        record_revision(update.store_revision_);
     }
 }
 
--- a/modules/av_feed/store_replica.hpp
+++ b/modules/av_feed/store_replica.hpp
@@ -46,6 +46,9 @@
     // Records that the store has answered; called before its answer is applied.
     void record_answer(milliseconds answered_at);
 
+    // The targets are known to have no further changes up to the revision.
+    void record_revision(store_revision revision);
+
     // Ignores a release that is not newer than the one in force.
     void apply_release(std::shared_ptr<const release> value);
     // Apply what the store lists, or the changes that it reports, up to the
--- a/modules/av_feed/tests/registry_control_test.cpp
+++ b/modules/av_feed/tests/registry_control_test.cpp
@@ -112,6 +112,7 @@
         contents_age_ = update.contents_age_;
         age_for_subscribers_ = age_for_subscribers(update);
         answer_age_ = update.answer_age_.value_or(answer_age_);
+        store_revision_ = std::max(store_revision_, update.store_revision_);
         ++updates_;
         if (update.is_snapshot_)
         {
@@ -135,6 +136,7 @@
     milliseconds contents_age_;
     milliseconds age_for_subscribers_;
     milliseconds answer_age_{1e9};
+    store_revision store_revision_ = 0;
     registry_subscriber client_;
 };
 
@@ -440,6 +442,24 @@
         });
 }
 
+// Guards against subscribers that refuse a watcher as outdated: what they have
+// read themselves is of a later revision, although no target has changed since.
+BOOST_AUTO_TEST_CASE(a_watcher_reports_the_revision_up_to_which_it_is_current)
+{
+    subscribed_vm vm(no_expiry, "127.0.30.13:28715", true);
+    vm.run_until_the_store_is_watched();
+    plain_subscriber other(vm.context_, "127.0.30.13:28715");
+    other.subscribe("");
+    vm.store_.put_release(7);
+    const auto revision = vm.store_.releases_.objects_["main"].revision_;
+    vm.run_until(
+        [&]
+        {
+            return other.store_revision_ == revision;
+        });
+    BOOST_TEST(other.version_ == 7U);
+}
+
 // Guards against subscribers that follow a watcher whose contents grow old
 // while the store answers it, since nothing tells it of changes any more.
 BOOST_AUTO_TEST_CASE(a_watcher_that_learns_of_no_changes_uses_another_one)
