--- a/modules/av_net/tests/http_exchange_test.cpp
+++ b/modules/av_net/tests/http_exchange_test.cpp
@@ -95,6 +95,26 @@
     BOOST_TEST(result.http_response_.body() == "whole");
 }
 
+// Guards against contents of the store that are read from a response whose head
+// or body was cut off.
+BOOST_AUTO_TEST_CASE(a_response_that_is_cut_at_any_byte_is_incomplete)
+{
+    for (const std::string response :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "2\r\n{}\r\n0\r\nSum: 7\r\n\r\n"})
+    {
+        for (std::size_t length = 0; length < response.size(); ++length)
+        {
+            const auto result =
+                call(response.substr(0, length), server_behavior::close);
+            BOOST_TEST((result.outcome_ != http_outcome::answered),
+                       length << " of " << response);
+        }
+    }
+}
+
 // The server closes with bytes of the request unread, which resets the
 // connection.
 BOOST_AUTO_TEST_CASE(a_response_without_length_is_incomplete_after_a_reset)
