Silence open connections for good in the fault relay

Cause: the users' network may silence open connections without a reset while new ones work. No fault of the relay did that: a black hole also holds up new connections and ends, and half_open ends the connection once its client sends. Change: silence, which acts once on the open connections. Neither bytes nor the end of either side are relayed until the connection is reset. The counts tell how many connections of a link are silent. Not covered: the relay's own sockets still acknowledge segments, so a TCP keep-alive or TCP_USER_TIMEOUT does not notice this silence, only a time limit of the program does. Result: test_controls passes; with the relay of before, the tests of silence and of its value fail.

--- a/standins/fault_relay/link.cpp
+++ b/standins/fault_relay/link.cpp
@@ -7,6 +7,7 @@
 
 #include <yaml-cpp/yaml.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace anvilturn
@@ -81,6 +82,16 @@
     reset_socket(server_socket_);
 }
 
+void link_connection::silence()
+{
+    silent_ = true;
+}
+
+bool link_connection::is_silent() const noexcept
+{
+    return silent_;
+}
+
 void link_connection::read(relay_direction& direction)
 {
     if (is_paused(direction))
@@ -133,6 +144,11 @@
 
 void link_connection::write(relay_direction& direction, std::size_t size_bytes)
 {
+    // The silence may have begun during the delay.
+    if (silent_)
+    {
+        return;
+    }
     boost::asio::async_write(
         sink(direction),
         boost::asio::buffer(direction.bytes_.data(), size_bytes),
@@ -149,6 +165,10 @@
 
 void link_connection::finish_direction(relay_direction& direction)
 {
+    if (silent_)
+    {
+        return;
+    }
     ++finished_directions_;
     boost::system::error_code ignored;
     const bool keep_client_open = half_open_ && !direction.is_to_server_;
@@ -166,6 +186,10 @@
 
 bool link_connection::is_paused(const relay_direction& direction) const
 {
+    if (silent_)
+    {
+        return true;
+    }
     return direction.is_to_server_ ? owner_.faults().pause_to_server_
                                    : owner_.faults().pause_to_client_;
 }
@@ -208,12 +232,14 @@
     auto faults = faults_;
     bool resets = false;
     bool half_opens = false;
+    bool silences = false;
     read_if_present(node, "refuse", faults.refuse_);
     read_if_present(node, "hold_up", faults.pause_to_server_);
     read_if_present(node, "hold_down", faults.pause_to_client_);
     read_if_present(node, "delay_ms", faults.delay_);
     read_if_present(node, "reset", resets);
     read_if_present(node, "half_open", half_opens);
+    read_if_present(node, "silence", silences);
     faults_ = faults;
     const auto connections = connections_;
     for (const auto& connection : connections)
@@ -227,6 +253,10 @@
         {
             connection->half_open();
         }
+        else if (silences)
+        {
+            connection->silence();
+        }
         else
         {
             connection->resume();
@@ -241,8 +271,15 @@
 
 std::string link::counts_text() const
 {
+    const auto silent = std::count_if(connections_.begin(),
+                                      connections_.end(),
+                                      [](const auto& connection)
+                                      {
+                                          return connection->is_silent();
+                                      });
     return "link=" + name_ + " accepted=" + std::to_string(accepted_) +
-           " connections=" + std::to_string(connections_.size()) + '\n';
+           " connections=" + std::to_string(connections_.size()) +
+           " silent=" + std::to_string(silent) + '\n';
 }
 
 void link::accept_next()
--- a/standins/fault_relay/link.hpp
+++ b/standins/fault_relay/link.hpp
@@ -55,6 +55,11 @@
     // Resets the connection to the server; the client is not notified.
     void half_open();
 
+    // Relays nothing more in either direction, not even the end of the
+    // connection, until reset() is called.
+    void silence();
+    bool is_silent() const noexcept;
+
 private:
     // State of one direction.
     struct relay_direction
@@ -85,6 +90,7 @@
     relay_direction to_client_;
     int finished_directions_ = 0;
     bool half_open_ = false;
+    bool silent_ = false;
 };
 
 // Listens on one address and relays each connection to a server.
@@ -99,8 +105,8 @@
     const std::string& name() const noexcept;
     const link_faults& faults() const noexcept;
 
-    // Sets the faults that the YAML map names. reset and half_open act once, on
-    // the open connections; the others last until changed. Throws
+    // Sets the faults that the YAML map names. reset, half_open and silence act
+    // once, on the open connections; the others last until changed. Throws
     // YAML::Exception on malformed YAML; ignores values of the wrong type.
     void change_faults(const std::string& yaml);
 
--- a/standins/fault_relay/main.cpp
+++ b/standins/fault_relay/main.cpp
@@ -1,5 +1,5 @@
 // Purpose: network faults between processes: relays TCP connections, and
-// resets, pauses or delays them on request.
+// resets, pauses, delays or silences them on request.
 
 #include <fault_relay/link.hpp>
 
@@ -34,8 +34,8 @@
 
 Control requests: POST /control/faults?link=NAME (all links without it) with a
 YAML map of refuse, hold_up (pauses client to server), hold_down (pauses server
-to client), delay_ms (these last until changed), reset, half_open (these act
-once, on the open connections); a black hole is
+to client), delay_ms (these last until changed), reset, half_open, silence (for
+good, without a reset; these act once, on the open connections); a black hole is
 {hold_up: true, hold_down: true}. GET /control/counts.
 )";
 
--- a/standins/test_controls.py
+++ b/standins/test_controls.py
@@ -21,7 +21,12 @@
 class FaultRelay(unittest.TestCase):
     def setUp(self):
         self.control = f"127.0.0.1:{free_port()}"
-        link = f"a=127.0.0.1:{free_port()}=127.0.0.1:1"
+        self.server = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.server.close)
+        self.server.settimeout(START_LIMIT_S)
+        self.port = free_port()
+        link = (f"a=127.0.0.1:{self.port}="
+                f"127.0.0.1:{self.server.getsockname()[1]}")
         self.relay = subprocess.Popen(
             [f"{BIN}/fault_relay", "--links", link, "--control", self.control])
         self.addCleanup(self.end)
@@ -46,7 +51,8 @@
 
     def test_a_fault_of_the_wrong_type_is_refused(self):
         for body in (b"refuse: maybe", b"hold_up: 3", b"delay_ms: soon",
-                     b"reset: [1]", b"half_open: no way"):
+                     b"reset: [1]", b"half_open: no way",
+                     b"silence: perhaps"):
             with self.subTest(body=body):
                 with self.assertRaises(urllib.error.HTTPError) as refused:
                     self.request("faults", body)
@@ -57,6 +63,53 @@
         with self.request("faults", b"refuse: true\ndelay_ms: 3") as response:
             self.assertEqual(response.status, 200)
 
+    def connect(self):
+        """Returns the client's and the server's end of a relayed connection."""
+        client = socket.create_connection(("127.0.0.1", self.port),
+                                          START_LIMIT_S)
+        self.addCleanup(client.close)
+        server, _ = self.server.accept()
+        self.addCleanup(server.close)
+        server.settimeout(START_LIMIT_S)
+        return client, server
+
+    def exchange(self, client, server):
+        for sender, receiver in ((client, server), (server, client)):
+            sender.sendall(b"x")
+            self.assertEqual(receiver.recv(1), b"x")
+
+    def assert_silent(self, connection):
+        """Neither bytes nor an end may have arrived."""
+        connection.setblocking(False)
+        with self.assertRaises(BlockingIOError):
+            connection.recv(1)
+
+    # Guards against a silence that ends, that a VM would notice without a time
+    # limit of its own, or that affects new connections.
+    def test_silence_is_for_good_and_for_open_connections_only(self):
+        for ends in (False, True):
+            with self.subTest(ends=ends):
+                client, server = self.connect()
+                self.exchange(client, server)
+                self.request("faults", b"silence: true").close()
+                client.sendall(b"x")
+                server.sendall(b"x")
+                if ends:
+                    client.close()
+                self.request("faults", b"silence: false").close()
+                self.exchange(*self.connect())
+                self.assert_silent(server)
+                if not ends:
+                    self.assert_silent(client)
+
+    def test_reset_ends_silence(self):
+        client, server = self.connect()
+        self.request("faults", b"silence: true").close()
+        self.request("faults", b"reset: true").close()
+        for end in (client, server):
+            with self.assertRaises(ConnectionResetError):
+                end.recv(1)
+
 
 class Addresses(unittest.TestCase):
     def test_a_port_out_of_range_ends_the_program(self):
