Repeat a failed check once before the store counts as lost

Cause: a check on a connection that went silent ends with its time limit, and the session took that for an outage: a VM without a watcher then waited 0.4 to 1.2 s, checked again, and listed 1.2 s later. With its check interval of 1.5 s it was up to 4.3 s behind, where 3 s are allowed after such silence. Change: a check that fails while the session follows the store is repeated once at once. The idle connections are gone by then, so it opens a new one.

--- a/modules/av_feed/store_session.cpp
+++ b/modules/av_feed/store_session.cpp
@@ -209,6 +209,7 @@
     // them.
     void start_feeds()
     {
+        repeats_check_ = false;
         releases_.start();
         targets_.start();
         if (evacuations_)
@@ -260,6 +261,7 @@
 
     void fail(const absl::Status& status)
     {
+        repeats_check_ = false;
         stop_feeds();
         store_unreachable_ = true;
         if (failures_++ == 0)
@@ -357,9 +359,10 @@
     {
         if (!status.ok())
         {
-            fail(status);
+            handle_failed_check(status);
             return;
         }
+        repeats_check_ = false;
         record_answer();
         report_current();
         if (!store_unreachable_)
@@ -377,6 +380,21 @@
         schedule_feeds();
     }
 
+    // A connection that went silent ends one call although the store answers on
+    // new ones, so a check is repeated once before the store counts as lost.
+    void handle_failed_check(const absl::Status& status)
+    {
+        const bool was_following = !store_unreachable_ && is_synced();
+        if (was_following &&
+            kind_of(status) == error_kind::platform_unreachable &&
+            !std::exchange(repeats_check_, true))
+        {
+            check();
+            return;
+        }
+        fail(status);
+    }
+
     // Lists the collections after a delay. All VMs detect the end of an outage
     // at about the same time, and most get a watcher within the delay and then
     // need no listing.
@@ -408,6 +426,8 @@
     int failures_ = 0;
     bool running_ = false;
     bool store_unreachable_ = false;
+    // Whether the check in progress repeats one that has failed.
+    bool repeats_check_ = false;
     milliseconds check_sent_at_;
     milliseconds reported_current_at_;
 };
--- a/modules/av_feed/tests/scripted_store.hpp
+++ b/modules/av_feed/tests/scripted_store.hpp
@@ -69,10 +69,12 @@
         result.read_revision_ = [this](milliseconds, auto done)
         {
             ++checks_;
+            const bool fails = down_ || failing_checks_ > 0;
+            failing_checks_ -= failing_checks_ > 0 ? 1 : 0;
             post_to_context(
-                [this, done]
+                [this, fails, done]
                 {
-                    done(down_ ? absl::StatusOr<store_revision>(
+                    done(fails ? absl::StatusOr<store_revision>(
                                      unreachable_error())
                                : revision_);
                 });
@@ -142,6 +144,8 @@
     store_revision oldest_revision_ = 0;
     bool down_ = false;
     int checks_ = 0;
+    // Number of the next checks of the revision that get no answer.
+    int failing_checks_ = 0;
 
 private:
     // Small, so that a listing takes several calls.
--- a/modules/av_feed/tests/store_session_test.cpp
+++ b/modules/av_feed/tests/store_session_test.cpp
@@ -283,6 +283,37 @@
     BOOST_TEST(fixture.session_->is_synced());
 }
 
+// Guards against seconds without changes on a VM without a watcher whose
+// connections went silent: a check on one of them fails although the store
+// answers on new ones.
+BOOST_AUTO_TEST_CASE(a_check_is_repeated_before_the_store_counts_as_lost)
+{
+    session_fixture fixture;
+    fixture.session_->start();
+    fixture.run_until_synced();
+    fixture.session_->set_intervals({milliseconds(5.0),
+                                     milliseconds(1e6),
+                                     milliseconds(1e6),
+                                     milliseconds(1e6)});
+    fixture.store_.failing_checks_ = 1;
+    fixture.store_.remove("b");
+    fixture.run_until(
+        [&]
+        {
+            return fixture.changes_ == 1;
+        });
+    BOOST_TEST(fixture.session_->is_synced());
+    BOOST_TEST(fixture.store_.targets_.lists_ == 3);
+    // Each check is repeated once only.
+    fixture.store_.failing_checks_ = 2;
+    fixture.run_until(
+        [&]
+        {
+            return !fixture.session_->is_synced();
+        });
+    BOOST_TEST(fixture.store_.failing_checks_ == 0);
+}
+
 // Guards against a cut watch that is taken for an outage of the store, after
 // which a VM without a watcher waits for seconds before it lists again.
 BOOST_AUTO_TEST_CASE(a_watch_that_is_cut_causes_a_listing_at_once)
