Count a VM's release as current only after a call that shows it

What callers would see: after a pause of the VM that takes them, where VMs distribute releases themselves, calls at targets that left meanwhile. Cause: last_contact() stood for both "somebody answers" and "nothing is missing". Any successful call to the platform advanced it: a list of VMs, while every call about the release failed, and a read that returned an older release than a watch had reported. It also advanced when a newer release was read, before that was decoded. After a pause, targets are used again once it has advanced. Change: last_contact() is the start of the last call that was answered, and only isolation is judged by it; an answer of a peer that has a newer release counts there too. current_at() advances with a read of the newest release once it is in force, with a watch that reports nothing newer, and with a peer's answer as before; the request path relies on it, and the dump shows it as current_ago_ms. Result: both new tests failed before, with last_contact() in place of current_at(), which advanced with the third older read and with a list alone.

--- a/modules/av_control/control_plane.cpp
+++ b/modules/av_control/control_plane.cpp
@@ -228,6 +228,11 @@
     return implementation_->worker_->last_contact();
 }
 
+milliseconds control_plane::current_at() const noexcept
+{
+    return implementation_->worker_->current_at();
+}
+
 control_state control_plane::read_state() const
 {
     std::promise<control_state> promise;
--- a/modules/av_control/control_plane.hpp
+++ b/modules/av_control/control_plane.hpp
@@ -48,12 +48,17 @@
     // notified or failed, within the call timeout of the peer options.
     void begin_leave(std::function<void()> on_done);
 
-    // Returns the monotonic time up to which this VM's state is known to be
-    // current: the start of the last successful call to a peer or the platform
-    // after which this VM was not behind. It does not advance while the VM is
-    // paused or disconnected. Costs one atomic load.
+    // Returns the start of the last successful call to a peer or the platform.
+    // It does not advance while the VM is paused or disconnected, and says
+    // nothing about how current the VM's state is. Costs one atomic load.
     milliseconds last_contact() const noexcept;
 
+    // Returns the monotonic time up to which this VM's state is known to be
+    // current: the start of the last call whose response showed that this VM is
+    // not behind. A list of VMs does not show it, nor does a release that is
+    // older than one that the platform has reported. Costs one atomic load.
+    milliseconds current_at() const noexcept;
+
     // Returns a snapshot of the state; blocks until the control thread has made
     // it.
     control_state read_state() const;
--- a/modules/av_control/control_state.hpp
+++ b/modules/av_control/control_state.hpp
@@ -39,7 +39,9 @@
     std::uint64_t rounds_ = 0;
     // Number of pauses of this VM that were longer than the limit.
     std::uint64_t pauses_ = 0;
+    // See control_plane.
     milliseconds last_contact_{0.0};
+    milliseconds current_at_{0.0};
     bool watches_platform_ = false;
     // Start of the latest call that the platform answered; zero if none.
     milliseconds platform_answered_at_{0.0};
--- a/modules/av_control/control_worker.cpp
+++ b/modules/av_control/control_worker.cpp
@@ -65,19 +65,23 @@
     , push_timer_(context)
     , feed_(context,
             make_platform(context, options_),
-            {[this](std::optional<std::string> text, milliseconds started_at)
+            {[this](milliseconds started_at)
              {
                  record_contact(started_at);
-                 on_platform_release(std::move(text));
+             },
+             [this](std::optional<std::string> text,
+                    std::optional<milliseconds> newest_at)
+             {
+                 on_platform_release(std::move(text), newest_at);
              },
              [this](std::vector<platform_vm> vms)
              {
                  membership_ = on_vm_list(
                      std::move(membership_), to_listed(vms), monotonic_now());
              },
-             [this](milliseconds started_at)
+             [this](milliseconds newest_at)
              {
-                 record_contact(started_at);
+                 record_current(newest_at);
              },
              // A starting VM does not wait for an unreachable platform: the
              // failure counts as an answer.
@@ -187,9 +191,10 @@
     release_spread_ = record_source_answer(std::move(release_spread_),
                                            reply->members_.incarnation_);
     apply_message(*reply);
+    record_contact(started_at);
     if (reply->release_ <= release_spread_.current_version_)
     {
-        record_contact(started_at);
+        record_current(started_at);
     }
     send_missing_descriptions(address, reply->members_.missing_descriptions_);
 }
@@ -433,6 +438,16 @@
     }
 }
 
+// A release that is being decoded may be newer than the current one.
+void control_worker::record_current(milliseconds point)
+{
+    if (pending_decodes_ == 0 &&
+        point > current_at_.load(std::memory_order_relaxed))
+    {
+        current_at_.store(point, std::memory_order_release);
+    }
+}
+
 platform_poll_mode control_worker::poll_mode() const
 {
     if (monotonic_now() - peer_contact_ > peer_contact_timeout)
@@ -464,6 +479,7 @@
     state.rounds_ = membership_.rounds_;
     state.pauses_ = membership_.pauses_;
     state.last_contact_ = last_contact();
+    state.current_at_ = current_at();
     state.watches_platform_ = is_watcher_;
     state.platform_answered_at_ = feed_.answered_at();
     state.platform_calls_ = feed_.counts();
@@ -477,4 +493,9 @@
     return last_contact_.load(std::memory_order_acquire);
 }
 
+milliseconds control_worker::current_at() const noexcept
+{
+    return current_at_.load(std::memory_order_acquire);
+}
+
 } // namespace anvilturn
--- a/modules/av_control/control_worker.hpp
+++ b/modules/av_control/control_worker.hpp
@@ -21,6 +21,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -29,7 +30,7 @@
 {
 
 // The state and the timers of the control plane. All functions but last_contact
-// must be called on the thread of the context.
+// and current_at must be called on the thread of the context.
 class control_worker
 {
 public:
@@ -54,6 +55,7 @@
 
     control_state read_state() const;
     milliseconds last_contact() const noexcept;
+    milliseconds current_at() const noexcept;
 
 private:
     struct member_address
@@ -78,10 +80,15 @@
     void fetch_if_behind();
     void on_fetched(std::uint64_t source,
                     absl::StatusOr<release_document> document);
-    void on_platform_release(std::optional<std::string> text);
-    void decode(release_document document);
+    // The time as of which the release is the newest, if it is known, is that
+    // of platform_feed.
+    void on_platform_release(std::optional<std::string> text,
+                             std::optional<milliseconds> newest_at);
+    void decode(release_document document,
+                std::optional<milliseconds> newest_at);
     void apply_document(release_document document,
-                        absl::StatusOr<release> decoded);
+                        absl::StatusOr<release> decoded,
+                        std::optional<milliseconds> newest_at);
     void update_serving();
 
     void schedule_push();
@@ -93,6 +100,7 @@
 
     void publish_fleet();
     void record_contact(milliseconds started_at);
+    void record_current(milliseconds point);
     platform_poll_mode poll_mode() const;
 
     boost::asio::io_context& context_;
@@ -117,6 +125,7 @@
     std::vector<sequenced_notice> urgent_notices_;
     milliseconds peer_contact_{0.0};
     std::atomic<milliseconds> last_contact_{milliseconds()};
+    std::atomic<milliseconds> current_at_{milliseconds()};
     // Callbacks hold a weak pointer to it and do nothing once it has expired.
     std::shared_ptr<control_worker*> alive_;
     // Number of releases being decoded, and the processor time spent so far.
--- a/modules/av_control/control_worker_release.cpp
+++ b/modules/av_control/control_worker_release.cpp
@@ -11,6 +11,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <optional>
 #include <utility>
 
 namespace anvilturn
@@ -70,25 +71,28 @@
     }
     else
     {
-        decode(*std::move(document));
+        decode(*std::move(document), std::nullopt);
     }
     fetch_if_behind();
     update_serving();
 }
 
-void control_worker::on_platform_release(std::optional<std::string> text)
+void control_worker::on_platform_release(std::optional<std::string> text,
+                                         std::optional<milliseconds> newest_at)
 {
     release_spread_ =
         record_source_answer(std::move(release_spread_), platform_source);
-    if (text)
+    auto digest = text ? document_digest(*text) : std::string();
+    if (text && digest != release_spread_.current_digest_)
     {
         release_document document;
-        document.digest_ = document_digest(*text);
+        document.digest_ = std::move(digest);
         document.text_ = *std::move(text);
-        if (document.digest_ != release_spread_.current_digest_)
-        {
-            decode(std::move(document));
-        }
+        decode(std::move(document), newest_at);
+    }
+    else if (newest_at)
+    {
+        record_current(*newest_at);
     }
     update_serving();
 }
@@ -98,16 +102,18 @@
     document.digest_ = document_digest(document.text_);
     if (document.digest_ != release_spread_.current_digest_)
     {
-        decode(std::move(document));
+        decode(std::move(document), std::nullopt);
     }
 }
 
-void control_worker::decode(release_document document)
+void control_worker::decode(release_document document,
+                            std::optional<milliseconds> newest_at)
 {
     ++pending_decodes_;
     boost::asio::post(
         decode_pool_,
         [this,
+         newest_at,
          weak = std::weak_ptr(alive_),
          document = std::move(document)]() mutable
         {
@@ -117,6 +123,7 @@
                 decode_cpu_time_.load() + (thread_cpu_time() - started_at);
             boost::asio::post(context_,
                               [this,
+                               newest_at,
                                weak,
                                document = std::move(document),
                                decoded = std::move(decoded)]() mutable
@@ -124,7 +131,8 @@
                                   if (weak.lock())
                                   {
                                       apply_document(std::move(document),
-                                                     std::move(decoded));
+                                                     std::move(decoded),
+                                                     newest_at);
                                   }
                               });
         });
@@ -133,7 +141,8 @@
 // Uses the version in the text and the digest of the received text; those that
 // a peer stated for it are not trusted.
 void control_worker::apply_document(release_document document,
-                                    absl::StatusOr<release> decoded)
+                                    absl::StatusOr<release> decoded,
+                                    std::optional<milliseconds> newest_at)
 {
     --pending_decodes_;
     if (!decoded.ok())
@@ -162,6 +171,10 @@
         release_ = std::make_shared<release>(*std::move(decoded));
         schedule_push();
     }
+    if (newest_at && classification != release_classification::conflicting)
+    {
+        record_current(*newest_at);
+    }
     fetch_if_behind();
     update_serving();
 }
--- a/modules/av_control/platform_feed.cpp
+++ b/modules/av_control/platform_feed.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 namespace anvilturn
@@ -109,7 +110,9 @@
             // A read may return an older version than the change that
             // triggered it.
             must_read_ = read_version_ < changed_version_;
-            events_.on_release_(std::move(text), started_at);
+            events_.on_release_(std::move(text),
+                                must_read_ ? std::nullopt
+                                           : std::make_optional(started_at));
             schedule_platform_watch(must_read_ ? base_retry_delay
                                                : milliseconds());
         });
@@ -154,7 +157,7 @@
                 read_release();
                 return;
             }
-            events_.on_call_succeeded_(started_at);
+            events_.on_unchanged_(started_at);
             schedule_platform_watch(poll_mode_ == platform_poll_mode::slow_poll
                                         ? add_jitter(slow_poll_interval_)
                                         : milliseconds());
@@ -175,7 +178,6 @@
             }
             record_platform_answer(started_at);
             events_.on_list_(*std::move(vms));
-            events_.on_call_succeeded_(started_at);
             schedule_list(add_jitter(list_interval()));
         });
 }
@@ -241,6 +243,7 @@
 {
     failures_ = 0;
     answered_at_ = std::max(answered_at_, started_at);
+    events_.on_answer_(started_at);
 }
 
 } // namespace anvilturn
--- a/modules/av_control/platform_feed.hpp
+++ b/modules/av_control/platform_feed.hpp
@@ -38,14 +38,18 @@
 public:
     struct events
     {
+        // A call that began at the given time succeeded. It may have said
+        // nothing about the release.
+        std::function<void(milliseconds)> on_answer_;
         // The text of the release, empty if the platform has none, and the time
-        // at which the read began.
-        std::function<void(std::optional<std::string>, milliseconds)>
+        // as of which it is the newest; nothing if a watch has reported a newer
+        // one.
+        std::function<void(std::optional<std::string>,
+                           std::optional<milliseconds>)>
             on_release_;
         std::function<void(std::vector<platform_vm>)> on_list_;
-        // A call that began at the given time succeeded and brought no new
-        // release.
-        std::function<void(milliseconds)> on_call_succeeded_;
+        // The release that was read last is the newest as of the given time.
+        std::function<void(milliseconds)> on_unchanged_;
         // Reading the release failed; it will be retried.
         std::function<void()> on_failure_;
     };
--- a/modules/av_control/tests/control_plane_test.cpp
+++ b/modules/av_control/tests/control_plane_test.cpp
@@ -111,6 +111,58 @@
     BOOST_TEST(fleet.run_until("vm-0", advances));
 }
 
+// Guards against a VM that counts its release as current because the platform
+// still lists VMs while it answers no call about the release.
+BOOST_AUTO_TEST_CASE(a_list_of_vms_does_not_show_that_the_release_is_current)
+{
+    small_fleet fleet(1);
+    fleet.platform_.set_release("7 now");
+    BOOST_TEST(fleet.all_have_release(7));
+    auto& plane = *fleet.planes_["vm-0"];
+    fleet.platform_.set_release_down(true);
+    const auto mark = monotonic_now();
+    BOOST_TEST(fleet.run_until("vm-0",
+                               [&]
+                               {
+                                   return plane.last_contact() > mark;
+                               }));
+    BOOST_TEST(plane.current_at().count() <= mark.count());
+    fleet.platform_.set_release_down(false);
+    BOOST_TEST(fleet.run_until("vm-0",
+                               [&]
+                               {
+                                   return plane.current_at() > mark;
+                               }));
+}
+
+// Guards against a VM that counts its release as current because it has read it
+// again, though a watch has reported a newer one.
+BOOST_AUTO_TEST_CASE(reading_an_older_release_does_not_show_that_it_is_current)
+{
+    constexpr std::uint64_t enough_reads = 3;
+    small_fleet fleet(1);
+    fleet.platform_.set_release("7 now");
+    BOOST_TEST(fleet.all_have_release(7));
+    auto& plane = *fleet.planes_["vm-0"];
+    fleet.platform_.set_reads_stale(true);
+    fleet.platform_.set_release("8 newer");
+    const auto mark = monotonic_now();
+    BOOST_TEST(fleet.run_until("vm-0",
+                               [&]
+                               {
+                                   return fleet.platform_.stale_reads() >=
+                                          enough_reads;
+                               }));
+    BOOST_TEST(plane.current_at().count() <= mark.count());
+    fleet.platform_.set_reads_stale(false);
+    BOOST_TEST(fleet.all_have_release(8));
+    BOOST_TEST(fleet.run_until("vm-0",
+                               [&]
+                               {
+                                   return plane.current_at() > mark;
+                               }));
+}
+
 BOOST_AUTO_TEST_CASE(each_vm_knows_which_release_the_others_have)
 {
     small_fleet fleet(3);
--- a/modules/av_control/tests/platform_stub.hpp
+++ b/modules/av_control/tests/platform_stub.hpp
@@ -17,6 +17,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace anvilturn
@@ -54,6 +55,21 @@
         down_ = down;
     }
 
+    // Lets calls about the release fail while the VMs are still listed.
+    void set_release_down(bool down)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        release_down_ = down;
+    }
+
+    // Lets reads return the release as it was before its last change, which
+    // watches report.
+    void set_reads_stale(bool stale)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        reads_stale_ = stale;
+    }
+
     void set_vms(std::vector<platform_vm> vms)
     {
         const std::lock_guard<std::mutex> lock(mutex_);
@@ -63,10 +79,17 @@
     void set_release(std::string text)
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        text_ = std::move(text);
+        previous_text_ = std::exchange(text_, std::move(text));
         ++version_;
     }
 
+    // Returns the number of reads of the release that returned an older one.
+    std::uint64_t stale_reads()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return stale_reads_;
+    }
+
     // Returns the number of calls made, including watches.
     std::uint64_t calls()
     {
@@ -95,7 +118,7 @@
     absl::StatusOr<platform_changes> changes_since(store_revision since)
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        if (down_)
+        if (down_ || release_down_)
         {
             return unreachable();
         }
@@ -141,14 +164,20 @@
             ++calls_;
             using value = std::optional<platform_object>;
             value object;
-            if (version_ > 0)
+            if (reads_stale_ && version_ > 1)
+            {
+                ++stale_reads_;
+                object = platform_object{version_ - 1, previous_text_};
+            }
+            else if (version_ > 0)
             {
                 object = platform_object{version_, text_};
             }
             post_result<value>(context,
                                done,
-                               down_ ? absl::StatusOr<value>(unreachable())
-                                     : absl::StatusOr<value>(object));
+                               down_ || release_down_
+                                   ? absl::StatusOr<value>(unreachable())
+                                   : absl::StatusOr<value>(object));
         };
         platform.watch_release_ =
             [this, &context](store_revision since, milliseconds wait, auto done)
@@ -174,9 +203,13 @@
 
     std::mutex mutex_;
     bool down_ = false;
+    bool release_down_ = false;
+    bool reads_stale_ = false;
+    std::uint64_t stale_reads_ = 0;
     std::uint64_t calls_ = 0;
     object_version version_ = 0;
     std::string text_;
+    std::string previous_text_;
     std::vector<platform_vm> vms_;
 };
 
--- a/modules/av_daemon/daemon_sources.cpp
+++ b/modules/av_daemon/daemon_sources.cpp
@@ -16,8 +16,8 @@
 namespace
 {
 
-// Interval at which the control plane's last contact is reported to the request
-// path.
+// Interval at which the control plane's last contact, and how current its state
+// is, are reported to the request path.
 constexpr milliseconds contact_report_interval{50.0};
 // Interval at which targets marked as leaving are checked for their return.
 constexpr milliseconds return_check_interval{3000.0};
@@ -172,7 +172,7 @@
     const auto now = monotonic_now();
     const auto contact = control_->last_contact();
     isolation_ = observe_contact(isolation_, contact, now);
-    request_path_->record_refresh(contact);
+    request_path_->record_refresh(control_->current_at());
     request_path_->set_isolated(is_isolated(isolation_, now));
 }
 
--- a/modules/av_daemon/state_dump.cpp
+++ b/modules/av_daemon/state_dump.cpp
@@ -133,6 +133,7 @@
     put(out,
         "last_contact_ago_ms",
         age_of(control.last_contact_, control.now_));
+    put(out, "current_ago_ms", age_of(control.current_at_, control.now_));
     put(out, "watches_platform", control.watches_platform_);
     put(out,
         "platform_answered_ago_ms",
