Let the last sign of draining override an earlier good check

What callers would see: calls at a target that drains, where VMs distribute releases themselves. Cause: a VM kept when a target first showed that it is draining. A notice that the target serves again ended the exclusion if it was newer than that, although a response that the VM got after the good check said that the target is draining. Change: the time of the last sign is kept, and a notice that is older than it has no effect. The VM then reports the sign again, because the others, which use the target again, would not check for its return, so that this VM alone would exclude it for good. The VM that made the check does not report the target as serving in that case. Result: last_sign_of_draining_overrides_an_earlier_good_check failed before: the target was used after a check at 1.5 s though it showed at 2 s that it drains. The second report is covered by a_sign_of_draining_after_a_good_check_is_reported_again, the daemon's use of the result by no test.

--- a/modules/av_daemon/daemon_sources.cpp
+++ b/modules/av_daemon/daemon_sources.cpp
@@ -142,8 +142,10 @@
 void daemon::implementation::apply_and_report_notice(
     const target_notice& notice)
 {
-    request_path_->apply(notice);
-    control_->report(notice);
+    if (request_path_->apply(notice))
+    {
+        control_->report(notice);
+    }
 }
 
 void daemon::implementation::check_target_returns()
--- a/modules/av_proxy/request_path.cpp
+++ b/modules/av_proxy/request_path.cpp
@@ -285,20 +285,39 @@
     implementation_->publish_table();
 }
 
-void request_path::apply(const target_notice& notice)
+bool request_path::apply(const target_notice& notice)
 {
-    const auto table = implementation_->core_.table_.load();
+    const auto& core = implementation_->core_;
+    const auto table = core.table_.load();
     const auto now = monotonic_now();
+    std::optional<milliseconds> draining_seen_at;
     for (const auto& service : table->services_)
     {
         for (const auto& target : service.second.targets_)
         {
             if (target.spec_.name_ == notice.target_)
             {
-                apply_notice(*target.state_, notice, now);
+                draining_seen_at =
+                    std::max(draining_seen_at,
+                             apply_notice(*target.state_, notice, now));
             }
         }
     }
+    if (!draining_seen_at)
+    {
+        return true;
+    }
+    if (core.listener_)
+    {
+        target_notice draining;
+        draining.kind_ = target_notice_kind::draining;
+        draining.target_ = notice.target_;
+        draining.load_.draining_ = true;
+        draining.age_ = now - *draining_seen_at;
+        draining.source_vm_ = core.settings_.vm_name_;
+        core.listener_(draining);
+    }
+    return false;
 }
 
 void request_path::set_ready(bool ready)
--- a/modules/av_proxy/request_path.hpp
+++ b/modules/av_proxy/request_path.hpp
@@ -58,7 +58,10 @@
     void publish(const fleet_view& value);
 
     // Applies what another VM or the control plane reported about a target.
-    void apply(const target_notice& notice);
+    // Returns false, and gives a notice to the listener, if it says that a
+    // target serves which has shown since that it is draining: the others know
+    // only the first sign of it and would not check for its return here.
+    bool apply(const target_notice& notice);
 
     // Sets whether the platform's load balancer may send callers here. False at
     // first.
--- a/modules/av_proxy/target_state.cpp
+++ b/modules/av_proxy/target_state.cpp
@@ -55,8 +55,29 @@
 // Returns whether this is the first sign of draining.
 bool mark_draining(target_state& state, milliseconds now) noexcept
 {
-    double none = -1.0;
-    return state.draining_since_ms_.compare_exchange_strong(none, now.count());
+    double seen_at = state.draining_seen_at_ms_.load();
+    while (
+        seen_at < now.count() &&
+        !state.draining_seen_at_ms_.compare_exchange_weak(seen_at, now.count()))
+    {
+    }
+    return seen_at < 0.0;
+}
+
+// Ends the exclusion of a target that served at the given time. Returns when it
+// last showed that it is draining, without effect, if it did so since.
+std::optional<milliseconds> clear_draining(target_state& state,
+                                           double served_at_ms) noexcept
+{
+    double seen_at = state.draining_seen_at_ms_.load();
+    while (seen_at < served_at_ms)
+    {
+        if (state.draining_seen_at_ms_.compare_exchange_weak(seen_at, -1.0))
+        {
+            return std::nullopt;
+        }
+    }
+    return milliseconds(seen_at);
 }
 
 void store_probe(target_state& state,
@@ -259,9 +280,9 @@
     }
 }
 
-void apply_notice(target_state& state,
-                  const target_notice& notice,
-                  milliseconds now) noexcept
+std::optional<milliseconds> apply_notice(target_state& state,
+                                         const target_notice& notice,
+                                         milliseconds now) noexcept
 {
     const double at = (now - notice.age_).count();
     switch (notice.kind_)
@@ -270,24 +291,25 @@
         mark_draining(state, milliseconds(std::max(0.0, at)));
         break;
     case target_notice_kind::serving:
-        if (at > state.draining_since_ms_.load(relaxed))
+        if (const auto seen_at = clear_draining(state, std::max(0.0, at)))
         {
-            state.draining_since_ms_.store(-1.0);
-            state.unreachable_until_ms_.store(-1.0, relaxed);
-            state.slow_start_since_ms_.store(now.count(), relaxed);
+            return seen_at;
         }
+        state.unreachable_until_ms_.store(-1.0, relaxed);
+        state.slow_start_since_ms_.store(now.count(), relaxed);
         break;
     case target_notice_kind::probed:
         store_probe(state, notice, now);
         break;
     }
+    return std::nullopt;
 }
 
 bool is_leaving_or_replaced(const target_spec& spec,
                             const target_state& state) noexcept
 {
     return spec.draining_ || state.address_taken_over_.load(relaxed) ||
-           state.draining_since_ms_.load() >= 0.0;
+           state.draining_seen_at_ms_.load() >= 0.0;
 }
 
 target_eligibility eligibility(const target_spec& spec,
@@ -362,7 +384,8 @@
     result.latency_ = view.latency_;
     result.probed_load_ = view.probed_load_;
     result.consecutive_failures_ = state.error_streak_.load(relaxed);
-    result.draining_ = spec.draining_ || state.draining_since_ms_.load() >= 0.0;
+    result.draining_ =
+        spec.draining_ || state.draining_seen_at_ms_.load() >= 0.0;
     result.ejected_ = is_ejected(outlier_of(state), now) ||
                       now.count() < state.unreachable_until_ms_.load(relaxed);
     result.sent_ = state.sent_.load(relaxed);
--- a/modules/av_proxy/target_state.hpp
+++ b/modules/av_proxy/target_state.hpp
@@ -12,6 +12,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -88,8 +89,8 @@
     std::atomic<double> unreachable_until_ms_{-1.0};
 
     std::atomic<double> answered_at_ms_{-1.0};
-    // When the target first showed that it is draining; negative if it did not.
-    std::atomic<double> draining_since_ms_{-1.0};
+    // When the target last showed that it is draining; negative if it did not.
+    std::atomic<double> draining_seen_at_ms_{-1.0};
 };
 
 // Input of eligibility that is the same for all targets of a choice.
@@ -170,10 +171,11 @@
                    const outlier_state& value,
                    milliseconds now) noexcept;
 
-// Applies what another VM or a probe observed.
-void apply_notice(target_state& state,
-                  const target_notice& notice,
-                  milliseconds now) noexcept;
+// Applies what another VM or a probe observed. Returns when the target last
+// showed that it is draining if the notice says that it serves but is older.
+std::optional<milliseconds> apply_notice(target_state& state,
+                                         const target_notice& notice,
+                                         milliseconds now) noexcept;
 
 // Whether a target may get new calls, apart from ejection, which depends on the
 // other targets; see exclude_outliers.
--- a/modules/av_proxy/tests/fault_test.cpp
+++ b/modules/av_proxy/tests/fault_test.cpp
@@ -359,6 +359,30 @@
     BOOST_TEST(contains(running.connection_.read_header(), "GET /kits/again "));
 }
 
+// Guards against a VM that alone excludes a target for good: it has seen the
+// target draining after the check that makes all others use it again, so that
+// none of them checks for its return any more.
+BOOST_AUTO_TEST_CASE(a_sign_of_draining_after_a_good_check_is_reported_again)
+{
+    scripted_target first;
+    relay vm(make_release({first.address()}));
+    target_notice notice;
+    notice.target_ = "kits-1";
+    notice.kind_ = target_notice_kind::draining;
+    notice.age_ = milliseconds(1000.0);
+    BOOST_TEST(vm.path().apply(notice));
+    notice.kind_ = target_notice_kind::serving;
+    notice.age_ = milliseconds(2000.0);
+    BOOST_TEST(!vm.path().apply(notice));
+    const auto reported = vm.notice();
+    BOOST_TEST((reported.kind_ == target_notice_kind::draining));
+    BOOST_TEST(reported.target_ == "kits-1");
+    BOOST_TEST(reported.age_.count() >= 1000.0);
+    BOOST_TEST(reported.age_.count() < 2000.0);
+    notice.age_ = milliseconds(0.0);
+    BOOST_TEST(vm.path().apply(notice));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace anvilturn::test
--- a/modules/av_proxy/tests/target_state_test.cpp
+++ b/modules/av_proxy/tests/target_state_test.cpp
@@ -125,6 +125,33 @@
     BOOST_TEST(notice(target_notice_kind::serving, 50.0));
 }
 
+// Guards against a check that the target answered before its last sign of
+// draining, and that ends the exclusion because the first sign is older.
+BOOST_AUTO_TEST_CASE(last_sign_of_draining_overrides_an_earlier_good_check)
+{
+    target_state state("kits-1", "127.0.0.1:1");
+    const auto excluded_after_check_at = [&state](double checked, double now)
+    {
+        target_notice notice;
+        notice.kind_ = target_notice_kind::serving;
+        notice.age_ = milliseconds(now - checked);
+        apply_notice(state, notice, milliseconds(now));
+        eligibility_input input;
+        input.now_ = milliseconds(now);
+        return eligibility({}, state, input) == target_eligibility::excluded;
+    };
+    BOOST_TEST(record_response(state, nullptr, true, milliseconds(1000.0)));
+    BOOST_TEST(!record_response(state, nullptr, true, milliseconds(2000.0)));
+    BOOST_TEST(excluded_after_check_at(1500.0, 2100.0));
+    // A sign that was seen earlier and becomes known later changes nothing.
+    target_notice earlier;
+    earlier.kind_ = target_notice_kind::draining;
+    earlier.age_ = milliseconds(1300.0);
+    apply_notice(state, earlier, milliseconds(2200.0));
+    BOOST_TEST(excluded_after_check_at(1999.0, 2200.0));
+    BOOST_TEST(!excluded_after_check_at(2050.0, 2300.0));
+}
+
 BOOST_AUTO_TEST_CASE(paused_vm_waits_for_fresh_target_state)
 {
     struct freshness_case
