Date a target's return from when its last check was sent

What callers would see: calls at a target that drains, where VMs distribute releases themselves. Cause: a good health check counted from when its response was handled, up to 1 s after it was sent, or later on a VM that was paused, and the notice of the return had the age 0. So it overrode each sign of draining that a VM had seen until the notice arrived, also those after the target had written the response. Change: the checks count from when they are sent, and the age of the notice is the time since the last one was sent. The clock of the monitor can be replaced. The time that the notice takes between VMs is still not counted.

--- a/modules/av_daemon/daemon_implementation.hpp
+++ b/modules/av_daemon/daemon_implementation.hpp
@@ -170,6 +170,7 @@
                                  make_stop_actions()};
     target_return_monitor return_monitor_{context_,
                                           settings_.vm().name_,
+                                          monotonic_now,
                                           [this](const target_notice& notice)
                                           {
                                               apply_and_report_notice(notice);
--- a/modules/av_daemon/target_return_monitor.cpp
+++ b/modules/av_daemon/target_return_monitor.cpp
@@ -1,7 +1,6 @@
 #include <av_daemon/target_return_monitor.hpp>
 
 #include <av_core/log_event.hpp>
-#include <av_core/monotonic_clock.hpp>
 #include <av_net/endpoint.hpp>
 #include <av_net/http_exchange.hpp>
 #include <av_routing/dispatcher_vm.hpp>
@@ -55,9 +54,11 @@
 public:
     implementation(boost::asio::io_context& context,
                    std::string self_vm,
+                   std::function<milliseconds()> clock,
                    std::function<void(const target_notice&)> on_return)
         : context_(context)
         , self_vm_(std::move(self_vm))
+        , clock_(std::move(clock))
         , on_return_(std::move(on_return))
     {
     }
@@ -95,25 +96,27 @@
         const std::weak_ptr<implementation> weak = weak_from_this();
         exchange->start(*endpoint,
                         health_timeout,
-                        [weak, name = target.name_](const http_result& result)
+                        [weak, name = target.name_, sent_at = clock_()](
+                            const http_result& result)
                         {
                             if (const auto self = weak.lock())
                             {
-                                self->on_health(name, is_healthy(result));
+                                self->on_health(
+                                    name, is_healthy(result), sent_at);
                             }
                         });
     }
 
-    void on_health(const std::string& name, bool healthy)
+    void on_health(const std::string& name, bool healthy, milliseconds sent_at)
     {
         const auto found = return_states_.find(name);
         if (found == return_states_.end())
         {
             return;
         }
-        const auto now = monotonic_now();
-        found->second = after_health_check(found->second, healthy, now);
-        if (!has_returned(found->second, now))
+        const auto now = clock_();
+        found->second = after_health_check(found->second, healthy, sent_at);
+        if (!has_returned(found->second, sent_at))
         {
             return;
         }
@@ -124,12 +127,14 @@
         target_notice notice;
         notice.kind_ = target_notice_kind::serving;
         notice.target_ = name;
+        notice.age_ = now - sent_at;
         notice.source_vm_ = self_vm_;
         on_return_(notice);
     }
 
     boost::asio::io_context& context_;
     std::string self_vm_;
+    std::function<milliseconds()> clock_;
     std::function<void(const target_notice&)> on_return_;
     std::map<std::string, target_return> return_states_;
 };
@@ -137,9 +142,10 @@
 target_return_monitor::target_return_monitor(
     boost::asio::io_context& context,
     const std::string& self_vm,
+    std::function<milliseconds()> clock,
     std::function<void(const target_notice&)> on_return)
     : implementation_(std::make_shared<implementation>(
-          context, self_vm, std::move(on_return)))
+          context, self_vm, std::move(clock), std::move(on_return)))
 {
 }
 
--- a/modules/av_daemon/target_return_monitor.hpp
+++ b/modules/av_daemon/target_return_monitor.hpp
@@ -1,6 +1,7 @@
 #ifndef AV_DAEMON_TARGET_RETURN_MONITOR_HPP
 #define AV_DAEMON_TARGET_RETURN_MONITOR_HPP
 
+#include <av_core/milliseconds.hpp>
 #include <av_model/fleet_view.hpp>
 #include <av_model/target_notice.hpp>
 #include <av_model/target_spec.hpp>
@@ -29,9 +30,12 @@
 class target_return_monitor
 {
 public:
-    // The callback gets a notice for each target that has returned.
+    // The callback gets a notice for each target that has returned. Its age is
+    // the time since the last check was sent, since a response does not show
+    // what the target has become after it wrote it.
     target_return_monitor(boost::asio::io_context& context,
                           const std::string& self_vm,
+                          std::function<milliseconds()> clock,
                           std::function<void(const target_notice&)> on_return);
     ~target_return_monitor();
 
--- a/modules/av_routing/target_return.cpp
+++ b/modules/av_routing/target_return.cpp
@@ -13,20 +13,20 @@
 
 target_return after_health_check(const target_return& state,
                                  bool good,
-                                 milliseconds now) noexcept
+                                 milliseconds sent_at) noexcept
 {
     if (!good)
     {
         return {};
     }
     const bool is_first = state.good_checks_ == 0;
-    return {state.good_checks_ + 1, is_first ? now : state.first_good_at_};
+    return {state.good_checks_ + 1, is_first ? sent_at : state.first_good_at_};
 }
 
-bool has_returned(const target_return& state, milliseconds now) noexcept
+bool has_returned(const target_return& state, milliseconds sent_at) noexcept
 {
     return state.good_checks_ >= required_good_checks &&
-           now - state.first_good_at_ >= required_healthy_time;
+           sent_at - state.first_good_at_ >= required_healthy_time;
 }
 
 } // namespace anvilturn
--- a/modules/av_routing/target_return.hpp
+++ b/modules/av_routing/target_return.hpp
@@ -24,16 +24,17 @@
     }
 };
 
-// Returns the state after one health check. A check is good if the target
-// reports that it is healthy and not draining.
+// Returns the state after one health check that was sent at the given time. A
+// check is good if the target reports that it is healthy and not draining.
 target_return after_health_check(const target_return& state,
                                  bool good,
-                                 milliseconds now) noexcept;
+                                 milliseconds sent_at) noexcept;
 
-// Returns whether the target has returned to service. Health endpoints lag and
+// Returns whether the target had returned to service when the last check was
+// sent. Health endpoints lag and
 // give wrong results, so several good checks over some time are required. A
 // target that is draining after all shows it with its first response.
-bool has_returned(const target_return& state, milliseconds now) noexcept;
+bool has_returned(const target_return& state, milliseconds sent_at) noexcept;
 
 } // namespace anvilturn
 
