Follow another watcher until the own contents are current

Change: it leaves only once its own contents are not old any more. Contents are old after 900 ms in place of 700, since their age counts from the sending of a check, so that a slow answer is part of it.

--- a/modules/av_feed/watcher_fallback.cpp
+++ b/modules/av_feed/watcher_fallback.cpp
@@ -10,9 +10,9 @@
 namespace
 {
 
-// A watcher checks the store every 400 ms, so this is one missed check. Changes
-// must reach it within two seconds all the same.
-constexpr milliseconds fallback_age{700.0};
+// A watcher checks the store every 400 ms, so this is one missed check, even of
+// a slow store. Changes must reach it within two seconds all the same.
+constexpr milliseconds fallback_age{900.0};
 constexpr milliseconds check_interval{250.0};
 
 } // namespace
@@ -41,6 +41,10 @@
 
 void watcher_fallback::record_current()
 {
+    if (contents_age_() > fallback_age)
+    {
+        return;
+    }
     client_.reset();
     receives_updates_ = false;
 }
--- a/modules/av_feed/watcher_fallback.hpp
+++ b/modules/av_feed/watcher_fallback.hpp
@@ -39,7 +39,7 @@
 
     // Begins to observe the age of the contents.
     void start();
-    // This VM knows the contents from the store.
+    // This VM knows the contents from the store as of a later time than before.
     void record_current();
 
     // Returns the watcher that sends updates; empty if there is none.
