Let only publishers take over the revision of their last check

Cause: a VM that reads the store for itself alone took over the revision at each check and then refused watchers that were a check behind. Change: watchers and standbys report the revision, all others keep that of the last change that they applied.

--- a/modules/av_feed/registry_control.cpp
+++ b/modules/av_feed/registry_control.cpp
@@ -172,7 +172,10 @@
         result.on_current_ = [this]
         {
             watcher_fallback_.record_current();
-            replica_.record_revision(store_.target_revision());
+            if (is_watcher_ || store_fallback_.is_standby())
+            {
+                replica_.record_revision(store_.target_revision());
+            }
         };
         return result;
     }
