Keep contents current beside slow answers, listings and refusals

Cause, found by the review of the age of the contents: - a check waited for the reads of the one before, so that the age grew by three answers of a slow store, and standbys took over at 0.2 s an answer; - a single read that was faster than the watch replaced a good watch; - the other collections were not checked while one was listed again, and that one not either after its watch was cut; - a listing that got stuck counted as complete, and hid what was removed behind it since the revision known before; - watches were tried again each 0.6 s while the store refused lists. Change: checks begin on time whatever the reads take; a watch counts as silent when a second read has brought changes before it, and a report that reads have overtaken is dropped; checks go on during listings; a stuck listing keeps the known revision; without lists there is no watch, only the checks, until a list succeeds. Standbys take over at 900 ms in place of 700.

--- a/modules/av_feed/collection_feed.hpp
+++ b/modules/av_feed/collection_feed.hpp
@@ -76,9 +76,9 @@
 
     // Brings the contents up to the revision that the store had at the time
     // given or later. Calls the store only if the watch has not reported
-    // everything up to that revision; what it has missed is applied at once,
-    // and the watch is replaced, since its connection may be dead while others
-    // work.
+    // everything up to that revision; what it has missed is applied at once.
+    // A watch that misses changes again is replaced, since its connection may
+    // be dead while others work.
     void catch_up(store_revision store_revision_then,
                   milliseconds at,
                   milliseconds timeout,
@@ -139,6 +139,9 @@
     // follow each other closely. The first change after a pause is not delayed,
     // since a watch is pending then.
     static constexpr milliseconds watch_batching_delay{600.0};
+    // Number of reads that bring changes before the watch does, after which it
+    // counts as silent. A single one may only have been faster.
+    static constexpr int max_reads_beside_watch = 2;
     // Time limit of the call that replaces a refused listing.
     static constexpr milliseconds refused_list_timeout{400.0};
     // Delay before a listing that could not be completed is tried again.
@@ -174,7 +177,7 @@
             return;
         }
         if (kind_of(page.status()) == error_kind::platform_refused &&
-            current_at_ > milliseconds(0.0))
+            revision_ > 0)
         {
             resume(page.status());
             return;
@@ -198,8 +201,13 @@
         }
         const auto objects = progress_.take_objects();
         listed_ = true;
-        revision_ = listing_revision_;
-        current_at_ = std::max(current_at_, listing_sent_at_);
+        // A listing that got stuck says nothing of what lies behind; the
+        // changes since the known revision do.
+        if (step == listing_step::complete || revision_ == 0)
+        {
+            revision_ = listing_revision_;
+            current_at_ = std::max(current_at_, listing_sent_at_);
+        }
         log_decode_errors(objects);
         watch();
         if (step == listing_step::stuck)
@@ -242,17 +250,26 @@
     }
 
     // Goes on from the known revision while the store refuses lists, and lists
-    // later.
+    // later. Until then there is no watch, which it may refuse too, so that
+    // only the checks bring changes.
     void resume(const absl::Status& refusal)
     {
         read_changes(refused_list_timeout,
                      [this, generation = generation_, refusal](
                          const absl::Status& status)
                      {
-                         if (!status.ok() && generation == generation_)
+                         if (generation != generation_)
+                         {
+                             return;
+                         }
+                         if (!status.ok())
                          {
                              fail(refusal);
+                             return;
                          }
+                         listed_ = true;
+                         schedule_relisting();
+                         observer_.on_changes_({});
                      });
     }
 
@@ -288,39 +305,39 @@
                             milliseconds sent_at,
                             object_changes<Value> changes)
     {
-        if (since != revision_)
-        {
-            return; // The watch has reported them meanwhile, or more.
-        }
         was_cut_ = false;
-        revision_ = std::max(revision_, changes.revision_);
         current_at_ = std::max(current_at_, sent_at);
-        const bool resumes = !std::exchange(listed_, true);
-        if (resumes)
-        {
-            schedule_relisting();
-            schedule_watch();
-        }
-        else if (changes.changes_.empty())
+        // The watch may have reported as much or more meanwhile.
+        const bool is_known =
+            since != revision_ && changes.revision_ <= revision_;
+        revision_ = std::max(revision_, changes.revision_);
+        if (is_known || changes.changes_.empty())
         {
             return;
         }
-        if (std::exchange(watching_, false))
+        if (watching_ && ++reads_beside_watch_ >= max_reads_beside_watch)
         {
-            log_event(log_level::warning, "store_watch_silent")
-                .field("collection", name_)
-                .field("revision", since)
-                .write();
-            ++generation_;
-            schedule_watch();
+            replace_watch(since);
         }
         log_decode_errors(changes);
         observer_.on_changes_(std::move(changes.changes_));
     }
 
+    void replace_watch(store_revision since)
+    {
+        log_event(log_level::warning, "store_watch_silent")
+            .field("collection", name_)
+            .field("revision", since)
+            .write();
+        ++generation_;
+        watching_ = false;
+        schedule_watch();
+    }
+
     void watch()
     {
         watching_ = true;
+        reads_beside_watch_ = 0;
         source_.watch_(revision_,
                        watch_time_limit,
                        [this,
@@ -352,9 +369,11 @@
             handle_cut_watch(changes.status());
             return;
         }
-        // A call beside the watch may have shown that there are no changes up
-        // to a later revision.
         was_cut_ = false;
+        // Reads beside the watch may have brought these changes, or shown that
+        // there are none up to a later revision.
+        const bool is_known =
+            reads_beside_watch_ > 0 && changes->revision_ <= revision_;
         revision_ = since == revision_
                         ? changes->revision_
                         : std::max(revision_, changes->revision_);
@@ -364,6 +383,11 @@
             watch();
             return;
         }
+        if (is_known)
+        {
+            schedule_watch();
+            return;
+        }
         log_decode_errors(*changes);
         schedule_watch();
         observer_.on_changes_(std::move(changes->changes_));
@@ -379,7 +403,9 @@
             fail(status);
             return;
         }
+        // Meanwhile checks bring the changes since the known revision.
         list({});
+        listed_ = true;
     }
 
     void list_after_lost_history()
@@ -388,6 +414,7 @@
             .field("collection", name_)
             .field("revision", revision_)
             .write();
+        revision_ = 0;
         list({});
     }
 
@@ -464,6 +491,8 @@
     // contents were last known to be complete by another call than a listing.
     bool watching_ = false;
     bool was_cut_ = false;
+    // How many reads have brought changes since the pending watch began.
+    int reads_beside_watch_ = 0;
 };
 
 } // namespace anvilturn
--- a/modules/av_feed/store_fallback.cpp
+++ b/modules/av_feed/store_fallback.cpp
@@ -19,7 +19,7 @@
 constexpr milliseconds max_snapshot_wait_at_startup{6000.0};
 // A standby asks the store once its watcher's contents are this old, so that it
 // has the store's contents when other VMs leave the watcher.
-constexpr milliseconds standby_takeover_age{700.0};
+constexpr milliseconds standby_takeover_age{900.0};
 
 } // namespace
 
--- a/modules/av_feed/store_session.cpp
+++ b/modules/av_feed/store_session.cpp
@@ -78,6 +78,7 @@
     {
         running_ = false;
         ++generation_;
+        ++run_;
         timer_.cancel();
         stop_feeds();
     }
@@ -261,6 +262,7 @@
 
     void fail(const absl::Status& status)
     {
+        ++run_;
         repeats_check_ = false;
         stop_feeds();
         store_unreachable_ = true;
@@ -299,23 +301,24 @@
     // whether the watches have missed changes.
     void check()
     {
-        check_sent_at_ = monotonic_now();
+        const auto sent_at = monotonic_now();
         const auto generation = generation_;
-        if (store_unreachable_ || !is_synced())
+        if (store_unreachable_)
         {
             calls_.check_(check_timeout(failures_),
                           [this, generation](const absl::Status& status)
                           {
                               if (generation == generation_)
                               {
-                                  handle_check_result(status);
+                                  handle_availability(status);
                               }
                           });
             return;
         }
         calls_.read_revision_(
             check_timeout(failures_),
-            [this, generation](const absl::StatusOr<store_revision>& revision)
+            [this, generation, sent_at](
+                const absl::StatusOr<store_revision>& revision)
             {
                 if (generation != generation_)
                 {
@@ -323,39 +326,44 @@
                 }
                 if (!revision.ok())
                 {
-                    handle_check_result(revision.status());
+                    handle_failed_check(revision.status());
                     return;
                 }
                 record_answer();
-                catch_up(*revision);
+                // The next check does not wait for what this one reads, so that
+                // a slow store makes the contents older by one response only.
+                const auto elapsed = monotonic_now() - sent_at;
+                schedule_check(std::max(milliseconds(0.0),
+                                        intervals_.check_interval_ - elapsed));
+                catch_up(*revision, sent_at);
             });
     }
 
-    // Brings all collections up to the revision that the store had when it
-    // answered the check.
-    void catch_up(store_revision revision)
+    // Brings all collections up to the revision that the store had when the
+    // check was sent.
+    void catch_up(store_revision revision, milliseconds sent_at)
     {
         const auto results = std::make_shared<check_results>();
         results->awaited_ = evacuations_ ? 3 : 2;
-        const auto done = [this, results, generation = generation_](
-                              const absl::Status& status)
+        const auto done =
+            [this, results, run = run_](const absl::Status& status)
         {
             results->status_.Update(status);
-            if (--results->awaited_ == 0 && generation == generation_)
+            if (--results->awaited_ == 0 && run == run_)
             {
-                handle_check_result(results->status_);
+                handle_catch_up_result(results->status_);
             }
         };
         const auto timeout = check_timeout(failures_);
-        releases_.catch_up(revision, check_sent_at_, timeout, done);
-        targets_.catch_up(revision, check_sent_at_, timeout, done);
+        releases_.catch_up(revision, sent_at, timeout, done);
+        targets_.catch_up(revision, sent_at, timeout, done);
         if (evacuations_)
         {
-            evacuations_->catch_up(revision, check_sent_at_, timeout, done);
+            evacuations_->catch_up(revision, sent_at, timeout, done);
         }
     }
 
-    void handle_check_result(const absl::Status& status)
+    void handle_catch_up_result(const absl::Status& status)
     {
         if (!status.ok())
         {
@@ -363,15 +371,18 @@
             return;
         }
         repeats_check_ = false;
-        record_answer();
         report_current();
-        if (!store_unreachable_)
+    }
+
+    // Handles the result of a check whether the store answers again.
+    void handle_availability(const absl::Status& status)
+    {
+        if (!status.ok())
         {
-            const auto elapsed = monotonic_now() - check_sent_at_;
-            schedule_check(std::max(milliseconds(0.0),
-                                    intervals_.check_interval_ - elapsed));
+            fail(status);
             return;
         }
+        record_answer();
         if (failures_ == 0)
         {
             start_feeds();
@@ -384,9 +395,7 @@
     // new ones, so a check is repeated once before the store counts as lost.
     void handle_failed_check(const absl::Status& status)
     {
-        const bool was_following = !store_unreachable_ && is_synced();
-        if (was_following &&
-            kind_of(status) == error_kind::platform_unreachable &&
+        if (kind_of(status) == error_kind::platform_unreachable &&
             !std::exchange(repeats_check_, true))
         {
             check();
@@ -423,12 +432,13 @@
     std::optional<collection_feed<evacuation_spec>> evacuations_;
     milliseconds answered_at_;
     int generation_ = 0;
+    // Counts how often the feeds have been stopped.
+    int run_ = 0;
     int failures_ = 0;
     bool running_ = false;
     bool store_unreachable_ = false;
     // Whether the check in progress repeats one that has failed.
     bool repeats_check_ = false;
-    milliseconds check_sent_at_;
     milliseconds reported_current_at_;
 };
 
