--- a/modules/av_feed/collection_feed.hpp
+++ b/modules/av_feed/collection_feed.hpp
@@ -111,7 +111,7 @@
     }
 
     // Returns whether the collection has been listed since the last start, and
-    // is not being listed again.
+    // its changes are followed by a watch or by checks.
     bool is_listed() const
     {
         return listed_;
